load: Add callers that check their answers, the demo and the path experiment

Cause: nothing showed that the path works. Change: a cluster in one process, a demo and the first experiment.

--- a/crates/fescuelock-callers/src/request.rs
+++ b/crates/fescuelock-callers/src/request.rs
@@ -40,8 +40,8 @@
 ///
 /// Returns [`Refusal::MalformedBody`] that tells what is wrong.
 pub fn parse_chat(body: &[u8]) -> Result<ChatRequest> {
-    let request: ChatRequest = serde_json::from_slice(body)
-        .map_err(|error| Refusal::MalformedBody(error.to_string()))?;
+    let request: ChatRequest =
+        serde_json::from_slice(body).map_err(|error| Refusal::MalformedBody(error.to_string()))?;
     match request.messages.is_empty() {
         true => Err(Refusal::MalformedBody("`messages` is empty".to_owned())),
         false => Ok(request),
--- a/crates/fescuelock-core/src/placement.rs
+++ b/crates/fescuelock-core/src/placement.rs
@@ -172,9 +172,7 @@
             Serving::Version(version)
         }
 
-        Some(Serving::Service(service))
-            if view.teams.at(team_key).services.contains(&service) =>
-        {
+        Some(Serving::Service(service)) if view.teams.at(team_key).services.contains(&service) => {
             Serving::Service(service)
         }
 
--- a/crates/fescuelock-core/src/rules/compile.rs
+++ b/crates/fescuelock-core/src/rules/compile.rs
@@ -9,8 +9,7 @@
 
 /// Compiles rules. The order of lines does not matter.
 pub fn compile(entries: &[Entry], generation: Generation, problems: &mut Problems) -> View {
-    let mut compiler =
-        Compiler { view: View { generation, ..View::default() }, problems, entries };
+    let mut compiler = Compiler { view: View { generation, ..View::default() }, problems, entries };
     // Each pass resolves names that the passes before it have declared.
     compiler.pass(Compiler::declare);
     compiler.pass(Compiler::declare_version);
@@ -79,10 +78,8 @@
         let Some(model) = self.view.models.find(model_name) else {
             return self.fail(line, name, "must be MODEL/VERSION with a declared model");
         };
-        let price = Price {
-            input_micros_per_ktoken: *input_cost,
-            output_micros_per_ktoken: *output_cost,
-        };
+        let price =
+            Price { input_micros_per_ktoken: *input_cost, output_micros_per_ktoken: *output_cost };
         let version = Version {
             name: name.clone(),
             model,
--- a/crates/fescuelock-http/src/body.rs
+++ b/crates/fescuelock-http/src/body.rs
@@ -79,9 +79,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<std::result::Result<Frame<Bytes>, Aborted>>> {
         match self.get_mut() {
-            Body::Whole(full) => {
-                Pin::new(full).poll_frame(context).map_err(|never| match never {})
-            }
+            Body::Whole(full) => Pin::new(full).poll_frame(context).map_err(|never| match never {}),
 
             Body::Relayed(chunks) => {
                 chunks.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
--- a/crates/fescuelock-http/src/pool.rs
+++ b/crates/fescuelock-http/src/pool.rs
@@ -158,10 +158,11 @@
     }
 
     async fn handshake(&self) -> Result<Sender> {
-        let io = self.network.connect(&self.address).await.map_err(|source| Error::Connect {
-            address: self.address.clone(),
-            source,
-        })?;
+        let io = self
+            .network
+            .connect(&self.address)
+            .await
+            .map_err(|source| Error::Connect { address: self.address.clone(), source })?;
         let refused = |error: hyper::Error| Error::Connect {
             address: self.address.clone(),
             source: std::io::Error::other(error),
--- /dev/null
+++ b/crates/fescuelock-load/src/cluster.rs
@@ -0,0 +1,228 @@
+//! A deployment in one process: stand-ins and router nodes that can be killed and replaced.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuelock_core::clock::Clock;
+use fescuelock_core::counters::Counters;
+use fescuelock_core::session::{SessionKeys, SigningKey};
+use fescuelock_http::net::{SharedNetwork, Tcp};
+use fescuelock_operators::edit::{self, Applied};
+use fescuelock_platform::http_store::{HttpStore, HttpStoreOptions};
+use fescuelock_router::logs;
+use fescuelock_router::node::{Drained, Environment, Node, Running};
+use fescuelock_router::settings::Settings;
+use fescuelock_standin::deployment::{Deployment, DeploymentOptions};
+use tokio::time::timeout;
+
+use crate::{Error, Result};
+
+/// Time in which a node must get ready, in milliseconds.
+const READY_TIMEOUT_MS: u64 = 30_000;
+/// Secret of the sample session key.
+const SESSION_SECRET: &[u8] = b"0123456789abcdef";
+
+/// `ClusterOptions` configures a deployment.
+#[derive(Clone)]
+pub struct ClusterOptions {
+    /// The network. Defaults to TCP on loopback.
+    pub network: SharedNetwork,
+    /// Number of nodes. Defaults to 3.
+    pub nodes: usize,
+    /// Rules that are applied at the start.
+    pub rules: String,
+    /// The stand-ins.
+    pub deployment: DeploymentOptions,
+    /// Changes the settings of every node before it starts.
+    pub adjust: fn(&mut Settings),
+    /// Seed of the nodes.
+    pub seed: u64,
+}
+
+impl Default for ClusterOptions {
+    fn default() -> Self {
+        ClusterOptions {
+            network: Tcp::shared(),
+            nodes: 3,
+            rules: crate::samples::rules(&crate::samples::SampleOptions::default()),
+            deployment: DeploymentOptions::default(),
+            adjust: |_| {},
+            seed: 1,
+        }
+    }
+}
+
+/// `Cluster` is a running deployment.
+pub struct Cluster {
+    /// The stand-ins.
+    pub deployment: Deployment,
+    /// The platform, as operators reach it.
+    pub store: Arc<HttpStore>,
+    /// Wall-clock time of all nodes.
+    pub clock: Clock,
+    options: ClusterOptions,
+    nodes: Vec<Option<Node<Running>>>,
+    starts: u64,
+}
+
+impl Cluster {
+    /// Starts the stand-ins, applies the rules and starts the nodes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that could not be started.
+    pub async fn start(options: ClusterOptions) -> Result<Self> {
+        let mut cluster = Cluster::start_platform(options).await?;
+        for index in 0..cluster.options.nodes {
+            cluster.nodes.push(None);
+            cluster.start_node(index).await?;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts the stand-ins and applies the rules, without any node.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that could not be started.
+    pub async fn start_platform(options: ClusterOptions) -> Result<Self> {
+        let deployment =
+            Deployment::start(options.network.clone(), &options.rules, options.deployment.clone())
+                .await?;
+        let store_options = HttpStoreOptions {
+            address: deployment.platform_address.clone(),
+            ..HttpStoreOptions::default()
+        };
+        let store =
+            Arc::new(HttpStore::new(options.network.clone(), store_options, Counters::in_memory()));
+        edit::apply(store.as_ref(), &options.rules, None).await?;
+        let clock = Clock::system();
+        Ok(Cluster { deployment, store, clock, options, nodes: Vec::new(), starts: 0 })
+    }
+
+    /// Returns the settings of a node.
+    pub fn settings(&self, index: usize) -> Settings {
+        let key = SigningKey { name: "sample".to_owned(), secret: SESSION_SECRET.to_vec() };
+        let keys = SessionKeys::try_new(vec![key]).expect("there is one key");
+        let mut settings =
+            Settings::new(format!("node-{index}"), format!("zone-{}", index % 2), keys);
+        settings.callers_listen = "127.0.0.1:0".to_owned();
+        settings.operators_listen = "127.0.0.1:0".to_owned();
+        settings.platform_address = self.deployment.platform_address.clone();
+        settings.shutdown.balancer_delay_ms = 100;
+        settings.shutdown.drain_ms = 60_000;
+        settings.claims.node = settings.node.clone();
+        (self.options.adjust)(&mut settings);
+        settings
+    }
+
+    /// Returns the environment of the next start of a node.
+    pub fn environment(&mut self) -> Environment {
+        self.starts += 1;
+        Environment {
+            network: self.options.network.clone(),
+            clock: self.clock,
+            seed: self.options.seed.wrapping_mul(1_000_003).wrapping_add(self.starts),
+            logger: logs::discard(),
+        }
+    }
+
+    /// Starts a node, or starts it anew after its death.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotReady`] if the node does not get ready.
+    pub async fn start_node(&mut self, index: usize) -> Result<()> {
+        let node = self.boot_node(index).await?;
+        let ready = timeout(Duration::from_millis(READY_TIMEOUT_MS), node.ready()).await;
+        ready.map_err(|_| Error::NotReady(format!("node-{index}")))?;
+        self.nodes[index] = Some(node);
+        Ok(())
+    }
+
+    /// Starts a node without waiting until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the node.
+    pub async fn boot_node(&mut self, index: usize) -> Result<Node<Running>> {
+        let settings = self.settings(index);
+        let environment = self.environment();
+        Ok(Node::start(settings, environment).await?)
+    }
+
+    /// Puts a node that was booted into the place of another.
+    pub fn put_node(&mut self, index: usize, node: Node<Running>) {
+        self.nodes[index] = Some(node);
+    }
+
+    /// Ends a node at once.
+    pub fn kill_node(&mut self, index: usize) {
+        if let Some(node) = self.nodes[index].take() {
+            node.kill();
+        }
+    }
+
+    /// Takes a node out of the cluster, for a drain beside the cluster's other work.
+    pub fn take_node(&mut self, index: usize) -> Option<Node<Running>> {
+        self.nodes[index].take()
+    }
+
+    /// Drains a node to its end.
+    pub async fn drain_node(&mut self, index: usize) -> Option<Drained> {
+        let node = self.nodes[index].take()?;
+        Some(node.drain().finish().await)
+    }
+
+    /// Returns a node, if it runs.
+    pub fn node(&self, index: usize) -> Option<&Node<Running>> {
+        self.nodes[index].as_ref()
+    }
+
+    /// Returns the number of places for nodes.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Tells whether the cluster has no place for a node.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Returns the callers' addresses of the nodes that run.
+    pub fn callers_addresses(&self) -> Vec<String> {
+        self.nodes.iter().flatten().map(|node| node.callers_address().to_owned()).collect()
+    }
+
+    /// Returns the network.
+    pub fn network(&self) -> SharedNetwork {
+        self.options.network.clone()
+    }
+
+    /// Applies an edit to the rules in the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the edit.
+    pub async fn edit(&self, change: impl Fn(&str) -> String) -> Result<Applied> {
+        let current = edit::current(self.store.as_ref()).await?;
+        let current = current.ok_or(fescuelock_operators::Error::NoRules)?;
+        let text = change(&current.text);
+        Ok(edit::apply(self.store.as_ref(), &text, Some(current.generation)).await?)
+    }
+
+    /// Waits until a generation is in force on every node that runs.
+    pub async fn in_force(&self, generation: u64) {
+        while !self.nodes.iter().flatten().all(|node| node.status().generation >= generation) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Stops all parts at once.
+    pub fn stop(mut self) {
+        for index in 0..self.nodes.len() {
+            self.kill_node(index);
+        }
+        self.deployment.stop();
+    }
+}
--- /dev/null
+++ b/crates/fescuelock-load/src/experiments/mod.rs
@@ -0,0 +1,33 @@
+//! The experiments. Each returns its figures as one JSON object.
+
+pub mod path;
+
+use serde_json::Value;
+
+use crate::Result;
+
+/// `ExperimentOptions` is what every experiment takes.
+#[derive(Debug, Clone)]
+pub struct ExperimentOptions {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Length of a measured phase, in seconds.
+    pub phase_s: u64,
+}
+
+/// `Experiment` is an entry of the list of experiments.
+pub struct Experiment {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What it measures.
+    pub about: &'static str,
+    /// Runs it.
+    pub run: fn(&ExperimentOptions) -> Result<Value>,
+}
+
+/// Lists all experiments.
+pub const EXPERIMENTS: &[Experiment] = &[Experiment {
+    name: "path",
+    about: "throughput, overhead and memory of one node",
+    run: path::run,
+}];
--- /dev/null
+++ b/crates/fescuelock-load/src/lib.rs
@@ -0,0 +1,11 @@
+//! Load and experiment tool: whole deployments in one process, callers that check every answer, and
+//! the experiments that measure the router.
+
+pub mod caller;
+pub mod cluster;
+pub mod demo;
+pub mod errors;
+pub mod experiments;
+pub mod samples;
+
+pub use errors::{Error, Result};
--- /dev/null
+++ b/crates/fescuelock-load/src/samples.rs
@@ -0,0 +1,121 @@
+//! Rules of small deployments for experiments and tests.
+
+use std::fmt::Write as _;
+
+use fescuelock_core::ids::KeyHash;
+
+/// Cheap version of the sample model.
+pub const CHEAP_VERSION: &str = "draft/small-1";
+/// Better and dearer version of the sample model.
+pub const GOOD_VERSION: &str = "draft/large-1";
+/// Version that can be rolled out after the cheap one.
+pub const NEXT_VERSION: &str = "draft/small-2";
+/// Name of the plain service.
+pub const SERVICE: &str = "booking";
+/// Team that accepts the cheap version.
+pub const CHEAP_TEAM: &str = "summaries";
+/// Team that needs the better version.
+pub const GOOD_TEAM: &str = "estimators";
+/// Team that may use nothing but the cheap version.
+pub const NARROW_TEAM: &str = "trials";
+
+/// `SampleOptions` sizes a sample deployment.
+#[derive(Debug, Clone)]
+pub struct SampleOptions {
+    /// Availability zones. Defaults to 2.
+    pub zones: usize,
+    /// Engines of each version. Defaults to 2.
+    pub engines: usize,
+    /// VMs of the plain service. Defaults to 2.
+    pub service_vms: usize,
+    /// First port of the upstreams. Defaults to 19,000.
+    pub first_port: u16,
+    /// Protocol of the engines. Defaults to `http1`.
+    pub protocol: String,
+    /// Further rules.
+    pub extra: String,
+}
+
+impl Default for SampleOptions {
+    fn default() -> Self {
+        SampleOptions {
+            zones: 2,
+            engines: 2,
+            service_vms: 2,
+            first_port: 19_000,
+            protocol: "http1".to_owned(),
+            extra: String::new(),
+        }
+    }
+}
+
+/// Returns the bearer key of a sample team.
+pub fn key_of(team: &str) -> String {
+    format!("sample-{team}")
+}
+
+/// Writes the rules of a sample deployment.
+pub fn rules(options: &SampleOptions) -> String {
+    let mut text = String::new();
+    let mut add = |rule: String| {
+        let _ = writeln!(text, "{rule}  # asked by the load tool: sample");
+    };
+    for zone in 0..options.zones {
+        add(format!("zone zone-{zone} region=region-0"));
+    }
+    add("model draft".to_owned());
+    for (version, input, output, quality) in [
+        (CHEAP_VERSION, 60, 240, 0.85),
+        (NEXT_VERSION, 50, 200, 0.86),
+        (GOOD_VERSION, 1_500, 6_000, 0.97),
+    ] {
+        add(format!("version {version} input_cost={input} output_cost={output} quality={quality}"));
+    }
+    add(format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent=0"));
+    add(format!("service {SERVICE}"));
+    add(format!("call {SERVICE} POST /orders repeat=no"));
+    add(format!("call {SERVICE} PUT /notes repeat=yes"));
+    add(format!("call {SERVICE} GET / repeat=yes"));
+    let mut port = options.first_port;
+    let mut next_address = || {
+        port += 1;
+        format!("127.0.0.1:{port}")
+    };
+    for engine in 0..options.engines {
+        let zone = engine % options.zones;
+        let protocol = &options.protocol;
+        for (kind, serves) in [
+            ("cheap", format!("{CHEAP_VERSION},{NEXT_VERSION}")),
+            ("good", GOOD_VERSION.to_owned()),
+        ] {
+            add(format!(
+                "upstream {kind}-{engine} zone=zone-{zone} address={} serves={serves} \
+                 protocol={protocol} concurrency=1000",
+                next_address()
+            ));
+        }
+    }
+    for vm in 0..options.service_vms {
+        let zone = vm % options.zones;
+        add(format!(
+            "upstream booking-{vm} zone=zone-{zone} address={} serves=service:{SERVICE}",
+            next_address()
+        ));
+    }
+    for (team, quality, uses) in [
+        (CHEAP_TEAM, 0.8, "draft service:booking"),
+        (GOOD_TEAM, 0.95, "draft service:booking"),
+        (NARROW_TEAM, 0.8, CHEAP_VERSION),
+    ] {
+        add(format!("team {team} quality={quality}"));
+        add(format!("key {team} {}", KeyHash::of(&key_of(team))));
+        add(format!("allow {team} {uses}"));
+    }
+    text.push_str(&options.extra);
+    text
+}
+
+/// Writes a rule with its comment, for [`SampleOptions::extra`] or an edit.
+pub fn rule(text: &str) -> String {
+    format!("{text}  # asked by the load tool: experiment\n")
+}
--- a/crates/fescuelock-operators/src/commands.rs
+++ b/crates/fescuelock-operators/src/commands.rs
@@ -37,8 +37,7 @@
 ///
 /// Returns [`Error::File`] if it cannot be read.
 pub fn read_file(path: &str) -> Result<String> {
-    std::fs::read_to_string(path)
-        .map_err(|source| Error::File { path: path.to_owned(), source })
+    std::fs::read_to_string(path).map_err(|source| Error::File { path: path.to_owned(), source })
 }
 
 /// Checks a rules text.
--- a/crates/fescuelock-operators/src/main.rs
+++ b/crates/fescuelock-operators/src/main.rs
@@ -155,8 +155,7 @@
 }
 
 fn store(address: &str) -> Arc<HttpStore> {
-    let options =
-        HttpStoreOptions { address: address.to_owned(), ..HttpStoreOptions::default() };
+    let options = HttpStoreOptions { address: address.to_owned(), ..HttpStoreOptions::default() };
     Arc::new(HttpStore::new(Tcp::shared(), options, Counters::in_memory()))
 }
 
--- a/crates/fescuelock-router/src/chat.rs
+++ b/crates/fescuelock-router/src/chat.rs
@@ -153,9 +153,8 @@
     let mut progress = Progress::Unsent(attempt);
     loop {
         let build = || plan.request.to_http(None);
-        let answered = path
-            .dispatch(progress, &plan.assignment, &mut tried, build, Some(Repeatable))
-            .await?;
+        let answered =
+            path.dispatch(progress, &plan.assignment, &mut tried, build, Some(Repeatable)).await?;
         let Answered { attempt, response, connection, in_flight } = *answered;
         let ids = stream_ids(path, &in_flight.peer().name);
         let status = response.status();
--- a/crates/fescuelock-router/src/node.rs
+++ b/crates/fescuelock-router/src/node.rs
@@ -103,8 +103,7 @@
             address: settings.platform_address.clone(),
             call_timeout_ms: settings.platform_call_timeout_ms,
         };
-        let store =
-            Arc::new(HttpStore::new(network.clone(), store_options, counters.clone()));
+        let store = Arc::new(HttpStore::new(network.clone(), store_options, counters.clone()));
         let shared_store: SharedStore = Arc::clone(&store) as SharedStore;
 
         let callers = listen(&network, &settings.callers_listen).await?;
@@ -185,8 +184,7 @@
             tasks: tasks.clone(),
             stop: shared.stop_operators.clone(),
         };
-        let admin =
-            Admin { source: Arc::clone(&shared), key_hash: settings.operators_key_hash };
+        let admin = Admin { source: Arc::clone(&shared), key_hash: settings.operators_key_hash };
         tasks.spawn(operators_server.run(operators, Arc::new(admin)));
         info!(logger, "node started"; "callers" => &callers_address, "operators" => &operators_address);
         Ok(Node { shared, callers_address, operators_address, state: PhantomData })
--- a/crates/fescuelock-router/src/path.rs
+++ b/crates/fescuelock-router/src/path.rs
@@ -260,8 +260,7 @@
         let tried: Vec<UpstreamKey> =
             tried.iter().filter_map(|name| view.upstreams.find(name)).collect();
         let load = |key| self.dispatcher.registry.load(&bound, key);
-        let key =
-            self.with_rng(|rng| choose_upstream(&view, serving, home, &tried, load, rng))?;
+        let key = self.with_rng(|rng| choose_upstream(&view, serving, home, &tried, load, rng))?;
         Some((view.upstreams.at(key).name.clone(), Arc::clone(bound.peer(key))))
     }
 
--- a/crates/fescuelock-router/src/service.rs
+++ b/crates/fescuelock-router/src/service.rs
@@ -84,11 +84,8 @@
     if !team.services.contains(&key) {
         return Err(Refusal::Forbidden(format!("service:{name}")));
     }
-    let rule = view
-        .services
-        .at(key)
-        .call(request.method().as_str(), &service_path)
-        .ok_or_else(unknown)?;
+    let rule =
+        view.services.at(key).call(request.method().as_str(), &service_path).ok_or_else(unknown)?;
     let repeatable = rule.repeatable.then_some(Repeatable);
     let assignment = Assignment {
         team: team.name.clone(),
@@ -188,9 +185,8 @@
     let mut progress = Progress::Unsent(attempt);
     loop {
         let build = || build_request(call);
-        let answered = path
-            .dispatch(progress, &call.assignment, &mut tried, build, call.repeatable)
-            .await?;
+        let answered =
+            path.dispatch(progress, &call.assignment, &mut tried, build, call.repeatable).await?;
         let Answered { attempt, response, connection, in_flight } = *answered;
         let (head, body) = response.into_parts();
         // A service that repeats the request's id shows whether the answer is crossed.
--- a/crates/fescuelock-router/src/settings.rs
+++ b/crates/fescuelock-router/src/settings.rs
@@ -179,10 +179,8 @@
     // The defaults stand in for missing keys, so that all faults are found in one pass.
     let known = node.is_some() && zone.is_some() && keys.is_some();
     let node = node.map_or_else(String::new, |name| name.0);
-    let placeholder = || SessionKeys::try_new(vec![SigningKey {
-        name: String::new(),
-        secret: Vec::new(),
-    }]);
+    let placeholder =
+        || SessionKeys::try_new(vec![SigningKey { name: String::new(), secret: Vec::new() }]);
     let keys = match keys {
         Some(keys) => keys.0,
         None => placeholder().ok()?,
--- a/crates/fescuelock-standin/src/control.rs
+++ b/crates/fescuelock-standin/src/control.rs
@@ -47,9 +47,7 @@
         };
         match done {
             Ok(body) => json(StatusCode::OK, &body),
-            Err(error) => {
-                json(StatusCode::BAD_REQUEST, &value!({ "error": error.to_string() }))
-            }
+            Err(error) => json(StatusCode::BAD_REQUEST, &value!({ "error": error.to_string() })),
         }
     }
 
--- a/crates/fescuelock-standin/src/deployment.rs
+++ b/crates/fescuelock-standin/src/deployment.rs
@@ -78,13 +78,11 @@
     ) -> Result<Self> {
         let report = rules::check(rules, Generation(1));
         let first_error = report.errors().next().map(ToString::to_string);
-        let view =
-            report.view.ok_or_else(|| Error::Rules(first_error.unwrap_or_default()))?;
+        let view = report.view.ok_or_else(|| Error::Rules(first_error.unwrap_or_default()))?;
         let host = Host { network, tasks: Tasks::default(), stop: CancellationToken::new() };
         let platform = PlatformStandin::new(options.seed);
-        let platform_address = host
-            .serve(&options.platform_address, Version::Http1, Arc::clone(&platform))
-            .await?;
+        let platform_address =
+            host.serve(&options.platform_address, Version::Http1, Arc::clone(&platform)).await?;
         let mut deployment = Deployment {
             platform_address,
             platform,
@@ -117,17 +115,17 @@
                 Protocol::Http1 => Version::Http1,
                 Protocol::Http2 => Version::Http2,
             };
-            let is_service = view.services.iter().any(|(service, _)| {
-                view.upstreams_of(Serving::Service(service)).contains(&key)
-            });
+            let is_service = view
+                .services
+                .iter()
+                .any(|(service, _)| view.upstreams_of(Serving::Service(service)).contains(&key));
             let name = upstream.name.clone();
             if is_service {
                 let service = ServiceStandin::new(seed);
                 self.host.serve(&upstream.address, version, Arc::clone(&service)).await?;
                 self.services.insert(name, service);
             } else {
-                let options =
-                    EngineOptions { name: name.clone(), seed, ..options.engine.clone() };
+                let options = EngineOptions { name: name.clone(), seed, ..options.engine.clone() };
                 let engine = EngineStandin::new(options, Some(Arc::clone(&self.rating)));
                 self.host.serve(&upstream.address, version, Arc::clone(&engine)).await?;
                 self.engines.insert(name, engine);
--- a/crates/fescuelock-standin/src/engine.rs
+++ b/crates/fescuelock-standin/src/engine.rs
@@ -305,8 +305,7 @@
             sleep(generation).await;
         }
         self.finish(job, tokens, true);
-        let text: String =
-            (job.first..job.end).map(|index| token_text(&job.tag, index)).collect();
+        let text: String = (job.first..job.end).map(|index| token_text(&job.tag, index)).collect();
         let body = value!({
             "id": job.answer_id,
             "object": "chat.completion",
--- a/crates/fescuelock-standin/src/main.rs
+++ b/crates/fescuelock-standin/src/main.rs
@@ -41,9 +41,9 @@
 fn main() -> ExitCode {
     let arguments = arguments().run();
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let ran = runtime.map_err(|error| error.to_string()).and_then(|runtime| {
-        runtime.block_on(run(arguments)).map_err(|error| error.to_string())
-    });
+    let ran = runtime
+        .map_err(|error| error.to_string())
+        .and_then(|runtime| runtime.block_on(run(arguments)).map_err(|error| error.to_string()));
     match ran {
         Ok(()) => ExitCode::SUCCESS,
 
--- a/crates/fescuelock-upstreams/src/registry.rs
+++ b/crates/fescuelock-upstreams/src/registry.rs
@@ -100,12 +100,11 @@
     fn rebind(&self, old: &Bound, view: &View) -> Bound {
         let known: HashMap<&str, &Arc<Peer>> =
             old.peers.iter().map(|peer| (peer.name.as_str(), peer)).collect();
-        let peers = view.upstreams.iter().map(|(_, upstream)| {
-            match known.get(upstream.name.as_str()) {
+        let peers =
+            view.upstreams.iter().map(|(_, upstream)| match known.get(upstream.name.as_str()) {
                 Some(peer) if peer.fits(upstream) => Arc::clone(peer),
                 _ => Arc::new(self.open(upstream)),
-            }
-        });
+            });
         Bound { generation: view.generation, peers: peers.collect() }
     }
 
