load: Measure the path with parts in processes of their own

Cause: the memory of one process was that of node, stand-ins and callers, and the tail of the overhead was the machine's: the direct call's p99 moved from 0.3 ms to 10 ms between runs of one binary. A burst of 500 connections also overflowed the accept queue (ListenOverflows grew), seen as connect time-outs.

--- a/crates/fescuelock-http/src/net.rs
+++ b/crates/fescuelock-http/src/net.rs
@@ -6,7 +6,10 @@
 use std::sync::Arc;
 
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Connections that may wait to be accepted. Shorter queues drop connections in a burst.
+const ACCEPT_BACKLOG: u32 = 4_096;
 
 /// `Io` is a byte stream in both directions.
 pub trait Io: AsyncRead + AsyncWrite + Send + Unpin {}
@@ -54,10 +57,7 @@
 impl Network for Tcp {
     fn connect<'a>(&'a self, address: &'a str) -> BoxFuture<'a, io::Result<BoxIo>> {
         Box::pin(async move {
-            let address: SocketAddr = address
-                .parse()
-                .map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))?;
-            let stream = TcpStream::connect(address).await?;
+            let stream = TcpStream::connect(parse(address)?).await?;
             stream.set_nodelay(true)?;
             Ok(Box::new(stream) as BoxIo)
         })
@@ -65,13 +65,23 @@
 
     fn listen<'a>(&'a self, address: &'a str) -> BoxFuture<'a, io::Result<Box<dyn Listener>>> {
         Box::pin(async move {
-            let listener = TcpListener::bind(address).await?;
+            let address: SocketAddr = parse(address)?;
+            let socket =
+                if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+            socket.set_reuseaddr(true)?;
+            socket.bind(address)?;
+            let listener = socket.listen(ACCEPT_BACKLOG)?;
             let address = listener.local_addr()?.to_string();
             Ok(Box::new(TcpAcceptor { listener, address }) as Box<dyn Listener>)
         })
     }
 }
 
+/// Reads an address of the form `IP:PORT`.
+fn parse(address: &str) -> io::Result<SocketAddr> {
+    address.parse().map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))
+}
+
 /// `TcpAcceptor` accepts TCP connections.
 struct TcpAcceptor {
     listener: TcpListener,
--- a/crates/fescuelock-load/src/caller.rs
+++ b/crates/fescuelock-load/src/caller.rs
@@ -199,9 +199,11 @@
         started: Instant,
         reply: &mut Reply,
     ) -> Option<()> {
-        let mut connection = self.pool.checkout().await.ok()?;
+        let mut connection =
+            self.pool.checkout().await.map_err(|error| note(reply, &error)).ok()?;
         let limit_ms = u64::from(u32::MAX);
-        let (head, body) = connection.send(request, limit_ms).await.ok()?.into_parts();
+        let sent = connection.send(request, limit_ms).await;
+        let (head, body) = sent.map_err(|error| note(reply, &error)).ok()?.into_parts();
         reply.status = head.status.as_u16();
         read_headers(&head.headers, reply);
         if stream && head.status.is_success() {
@@ -281,6 +283,11 @@
     }
 }
 
+/// Notes why no answer came.
+fn note(reply: &mut Reply, error: &fescuelock_http::Error) {
+    reply.code = error.to_string();
+}
+
 fn event_json(event: &[u8]) -> Option<Value> {
     serde_json::from_slice(event.strip_prefix(b"data: ")?).ok()
 }
--- a/crates/fescuelock-load/src/experiments/mod.rs
+++ b/crates/fescuelock-load/src/experiments/mod.rs
@@ -13,6 +13,8 @@
     pub seed: u64,
     /// Length of a measured phase, in seconds.
     pub phase_s: u64,
+    /// Processes that were started by hand. Without them, all parts run in this process.
+    pub targets: Option<path::Targets>,
 }
 
 /// `Experiment` is an entry of the list of experiments.
--- a/crates/fescuelock-load/src/main.rs
+++ b/crates/fescuelock-load/src/main.rs
@@ -3,7 +3,8 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use fescuelock_load::experiments::{EXPERIMENTS, ExperimentOptions};
+use fescuelock_load::experiments::{EXPERIMENTS, ExperimentOptions, path};
+use fescuelock_load::samples::{SampleOptions, rules};
 use fescuelock_load::{Error, Result, demo};
 
 /// Exit code for an experiment that is not known.
@@ -16,6 +17,9 @@
     /// Start a deployment in this process, send mixed traffic and print what happened
     #[bpaf(command)]
     Demo,
+    /// Print the rules of a small deployment
+    #[bpaf(command("sample-rules"))]
+    SampleRules,
     /// List the experiments
     #[bpaf(command)]
     List,
@@ -28,6 +32,8 @@
         /// Length of a measured phase, in seconds
         #[bpaf(long, argument("S"), fallback(5), display_fallback)]
         phase_s: u64,
+        #[bpaf(external, optional)]
+        targets: Option<Targets>,
         /// Print one JSON object as the last line
         json: bool,
         /// Name of the experiment
@@ -36,6 +42,30 @@
     },
 }
 
+/// A node and an engine that were started by hand with the rules that `sample-rules` prints
+#[derive(Debug, Clone, Bpaf)]
+struct Targets {
+    /// The node's address for callers
+    #[bpaf(long, argument("IP:PORT"))]
+    node_callers: String,
+    /// The node's address for operators
+    #[bpaf(long, argument("IP:PORT"))]
+    node_operators: String,
+    /// The address of an engine
+    #[bpaf(long, argument("IP:PORT"))]
+    engine: String,
+}
+
+impl From<Targets> for path::Targets {
+    fn from(targets: Targets) -> Self {
+        path::Targets {
+            callers: targets.node_callers,
+            operators: targets.node_operators,
+            engine: targets.engine,
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let done = match command().run() {
         Command::Demo => run_demo(),
@@ -47,8 +77,14 @@
             Ok(ExitCode::SUCCESS)
         }
 
-        Command::Run { seed, phase_s, json, experiment } => {
-            run_experiment(&experiment, &ExperimentOptions { seed, phase_s }, json)
+        Command::SampleRules => {
+            print!("{}", rules(&SampleOptions::default()));
+            Ok(ExitCode::SUCCESS)
+        }
+
+        Command::Run { seed, phase_s, targets, json, experiment } => {
+            let targets = targets.map(path::Targets::from);
+            run_experiment(&experiment, &ExperimentOptions { seed, phase_s, targets }, json)
         }
     };
     match done {
