--- /dev/null
+++ b/crates/fescuelock-core/tests/config.rs
@@ -0,0 +1,41 @@
+//! The configuration in force never moves back.
+
+use fescuelock_core::config::{Adoption, ConfigCell};
+use fescuelock_core::ids::Generation;
+use fescuelock_core::rules::View;
+use proptest::prelude::*;
+
+fn view(generation: u64) -> View {
+    View { generation: Generation(generation), ..View::default() }
+}
+
+#[test]
+fn lower_dropped() {
+    let cell = ConfigCell::default();
+    assert_eq!(cell.adopt(view(5)), Adoption::Adopted);
+    assert_eq!(cell.adopt(view(4)), Adoption::Stale);
+    assert_eq!(cell.adopt(view(5)), Adoption::Current);
+    assert_eq!(cell.current().generation, Generation(5));
+}
+
+#[test]
+fn leaving_kept() {
+    let cell = ConfigCell::default();
+    cell.adopt(view(1));
+    cell.set_leaving(vec!["127.0.0.1:1".to_owned()]);
+    cell.adopt(view(2));
+    assert_eq!(cell.current().leaving, ["127.0.0.1:1"]);
+}
+
+proptest! {
+    #[test]
+    fn any_order(generations in proptest::collection::vec(0u64..50, 1..100)) {
+        let cell = ConfigCell::default();
+        let mut highest = 0;
+        for generation in generations {
+            cell.adopt(view(generation));
+            highest = highest.max(generation);
+            prop_assert_eq!(cell.current().generation, Generation(highest));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fescuelock-core/tests/placement.rs
@@ -0,0 +1,140 @@
+//! The placement decision.
+
+use std::collections::BTreeMap;
+
+use fescuelock_core::ids::Generation;
+use fescuelock_core::placement::{
+    Demand, Load, Serving, Target, choose_upstream, choose_version, confirm,
+};
+use fescuelock_core::refusal::Refusal;
+use fescuelock_core::rules::{View, check};
+use fescuelock_core::units::Usage;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const DRAWS: u32 = 10_000;
+
+const RULES: &str = "\
+zone a region=r  # asked by Ann
+zone b region=r  # asked by Ann
+zone c region=s  # asked by Ann
+model m  # asked by Ann
+version m/cheap input_cost=10 output_cost=20 quality=0.8  # asked by Ann
+version m/next input_cost=1 output_cost=2 quality=0.99  # asked by Ann
+version m/dear input_cost=100 output_cost=200 quality=0.95  # asked by Ann
+rollout m/next from=m/cheap percent=20  # asked by Ann
+upstream a1 zone=a address=127.0.0.1:1 serves=m/cheap,m/next concurrency=2  # asked by Ann
+upstream b1 zone=b address=127.0.0.1:2 serves=m/cheap,m/dear concurrency=2  # asked by Ann
+upstream c1 zone=c address=127.0.0.1:3 serves=m/cheap,m/dear concurrency=2  # asked by Ann
+team t quality=0.7  # asked by Ann
+allow t m  # asked by Ann
+";
+
+fn view(extra: &str) -> View {
+    check(&format!("{RULES}{extra}"), Generation(1)).view.expect("the rules are valid")
+}
+
+fn demand(view: &View, quality_min: f64) -> Demand {
+    Demand {
+        team: view.teams.find("t").expect("the team is declared"),
+        target: Target::Any,
+        quality_min,
+        expected: Usage { input_tokens: 100, output_tokens: 100 },
+    }
+}
+
+fn shares(view: &View, quality_min: f64) -> BTreeMap<String, u32> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut shares = BTreeMap::new();
+    for _ in 0..DRAWS {
+        let version = choose_version(view, &demand(view, quality_min), &mut rng)
+            .expect("a version meets the need");
+        *shares.entry(view.versions.at(version).name.clone()).or_insert(0) += 1;
+    }
+    shares
+}
+
+fn place(view: &View, home: &str, load: impl Fn(&str) -> Load) -> Option<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let serving = Serving::Version(view.versions.find("m/cheap").expect("declared"));
+    let load = |key| load(&view.upstreams.at(key).name);
+    let key = choose_upstream(view, serving, view.zones.find(home), &[], load, &mut rng)?;
+    Some(view.upstreams.at(key).name.clone())
+}
+
+#[test]
+fn cheapest_version() {
+    let shares = shares(&view(""), 0.9);
+    assert_eq!(shares, BTreeMap::from([("m/dear".to_owned(), DRAWS)]));
+}
+
+#[test]
+fn rollout_share() {
+    let shares = shares(&view(""), 0.7);
+    let share = f64::from(shares["m/next"]) / f64::from(DRAWS);
+    assert!((0.18..0.22).contains(&share), "{shares:?}");
+    assert_eq!(shares.len(), 2);
+}
+
+#[test]
+fn rollout_withdrawn() {
+    let shares = shares(&view("withdraw m/next  # asked by Ann: bad\n"), 0.7);
+    assert_eq!(shares, BTreeMap::from([("m/cheap".to_owned(), DRAWS)]));
+}
+
+#[test]
+fn quality_refused() {
+    let view = view("");
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let refused = choose_version(&view, &demand(&view, 0.97), &mut rng);
+    assert_eq!(refused, Err(Refusal::QualityUnmet("0.97".to_owned())));
+}
+
+#[test]
+fn near_first() {
+    assert_eq!(place(&view(""), "a", |_| Load::default()).as_deref(), Some("a1"));
+}
+
+#[test]
+fn spill_near() {
+    let full = |name: &str| Load { in_flight: if name == "a1" { 2 } else { 0 }, suspect: false };
+    assert_eq!(place(&view(""), "a", full).as_deref(), Some("b1"));
+}
+
+#[test]
+fn suspect_avoided() {
+    let suspect = |name: &str| Load { in_flight: 0, suspect: name != "c1" };
+    assert_eq!(place(&view(""), "a", suspect).as_deref(), Some("c1"));
+    let all = |_: &str| Load { in_flight: 0, suspect: true };
+    assert_eq!(place(&view(""), "a", all).as_deref(), Some("a1"));
+}
+
+#[test]
+fn zone_out() {
+    let view = view("zone-out a  # asked by Ann\nzone-out b  # asked by Ann\n");
+    assert_eq!(place(&view, "a", |_| Load::default()).as_deref(), Some("c1"));
+    assert!(confirm(&view, "t", "m/cheap", "a1").is_err());
+    assert!(confirm(&view, "t", "m/cheap", "c1").is_ok());
+}
+
+#[test]
+fn leaving_refused() {
+    let mut view = view("");
+    assert!(confirm(&view, "t", "m/cheap", "a1").is_ok());
+    view.leaving = vec!["127.0.0.1:1".to_owned()];
+    assert!(confirm(&view, "t", "m/cheap", "a1").is_err());
+}
+
+#[test]
+fn withdrawn_refused() {
+    let view = view("withdraw m/cheap  # asked by Ann: bad\n");
+    assert_eq!(
+        confirm(&view, "t", "m/cheap", "a1"),
+        Err(Refusal::VersionWithdrawn("m/cheap".to_owned()))
+    );
+}
+
+#[test]
+fn other_version() {
+    assert!(confirm(&view(""), "t", "m/dear", "a1").is_err());
+}
--- a/crates/fescuelock-http/src/body.rs
+++ b/crates/fescuelock-http/src/body.rs
@@ -2,18 +2,23 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 use crate::{Error, Result};
 
 /// Chunks that a relayed body holds before its sender waits.
 const RELAY_DEPTH: usize = 16;
 
+/// Time for a connection to write out the last chunk before an abort, in milliseconds.
+const ABORT_DELAY_MS: u64 = 10;
+
 /// `Aborted` ends a body without its end marker, so the receiver sees a broken message.
 #[derive(Debug, thiserror::Error)]
 #[error("the body was aborted")]
@@ -58,8 +63,14 @@
         self.chunks.send(Ok(chunk)).await.is_ok()
     }
 
-    /// Ends the body as broken, never as a clean close.
+    /// Ends the body as broken, never as a clean close, after what was sent before has gone out.
     pub async fn abort(self) {
+        let is_drained = || self.chunks.capacity() == self.chunks.max_capacity();
+        while !is_drained() && !self.chunks.is_closed() {
+            sleep(Duration::from_millis(ABORT_DELAY_MS)).await;
+        }
+        // A connection that meets the error drops what it has not written yet.
+        sleep(Duration::from_millis(ABORT_DELAY_MS)).await;
         // A receiver that has gone needs no error.
         let _ = self.chunks.send(Err(Aborted)).await;
     }
--- a/crates/fescuelock-operators/src/edit.rs
+++ b/crates/fescuelock-operators/src/edit.rs
@@ -10,8 +10,8 @@
 
 /// Begins the line of a shown rules text that names the generation it was read at.
 const BASE_PREFIX: &str = "#! generation ";
-/// Times that a write without an answer is looked up and tried again.
-const APPLY_TRIES: u32 = 5;
+/// Times that a call without an answer is tried.
+const TRIES: u32 = 5;
 
 /// `Current` is the rules text in the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,7 +39,7 @@
 ///
 /// Returns the error of the call.
 pub async fn current(store: &dyn ObjectStore) -> Result<Option<Current>> {
-    Ok(store.get(RULES_KEY).await?.as_ref().map(current_of))
+    Ok(read_rules(store).await?.as_ref().map(current_of))
 }
 
 /// Writes a rules text with the line that names its generation.
@@ -69,7 +69,7 @@
     if report.view.is_none() {
         return Err(Error::InvalidRules(report.problems));
     }
-    let before = store.get(RULES_KEY).await?;
+    let before = read_rules(store).await?;
     let before_generation = before.as_ref().map_or(0, |object| object.version.0);
     if before_generation != base {
         return Err(conflict(store, base, before.as_ref()).await);
@@ -82,6 +82,18 @@
     Ok(Applied { generation, changes: rules::diff(&old, rules_text), warnings: report.problems })
 }
 
+/// Reads the rules object. A call without an answer is tried again over another connection.
+async fn read_rules(store: &dyn ObjectStore) -> Result<Option<Object>> {
+    let mut read = store.get(RULES_KEY).await;
+    for _ in 1..TRIES {
+        if read.is_ok() {
+            break;
+        }
+        read = store.get(RULES_KEY).await;
+    }
+    Ok(read?)
+}
+
 /// Writes the rules. A write without an answer is looked up before it is tried again.
 async fn write(
     store: &dyn ObjectStore,
@@ -92,7 +104,7 @@
     let body = Bytes::from(text.to_owned());
     let condition = Condition::unchanged(before);
     let mut last = PlatformError::Conflict;
-    for _ in 0..APPLY_TRIES {
+    for _ in 0..TRIES {
         match store.put(RULES_KEY, body.clone(), condition).await {
             Ok(version) => return Ok(version.0),
             Err(error) => last = error,
--- a/crates/fescuelock-platform/src/config.rs
+++ b/crates/fescuelock-platform/src/config.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
 
+use crate::Result;
 use crate::objects::{Object, ObjectVersion, RULES_KEY, SharedStore};
 
 /// `FollowerOptions` configures how the rules are followed.
@@ -49,12 +50,12 @@
         let mut seen = None;
         let mut reachable = true;
         loop {
-            let watched = self.store.watch(RULES_KEY, seen, self.options.watch_wait_ms).await;
-            if watched.is_ok() != reachable {
-                reachable = watched.is_ok();
+            let read = self.read(seen).await;
+            if read.is_ok() != reachable {
+                reachable = read.is_ok();
                 info!(self.logger, "platform reachability changed"; "reachable" => reachable);
             }
-            match watched {
+            match read {
                 Ok(Some(object)) => {
                     seen = seen.max(Some(object.version));
                     self.offer(&object);
@@ -70,6 +71,14 @@
         }
     }
 
+    /// Waits for a change. A watch that fails or falls silent is followed by a plain read.
+    async fn read(&self, seen: Option<ObjectVersion>) -> Result<Option<Object>> {
+        match self.store.watch(RULES_KEY, seen, self.options.watch_wait_ms).await {
+            Ok(read) => Ok(read),
+            Err(_) => self.store.get(RULES_KEY).await,
+        }
+    }
+
     /// Puts an object's rules in force if they are valid and newer.
     pub fn offer(&self, object: &Object) {
         let ObjectVersion(version) = object.version;
