load: Fuzz the promises with random faults, kills and edits

Cause: single tests do not overlap failures. Change: a proptest state machine drives three nodes and the stand-ins in memory on a paused clock against an oracle of sets; scripts/break-promises.sh breaks the code promise by promise. Two checks of the first oracle were wrong, as traces showed: the stand-in dated an engine's run 20 ms after its arrival, so work sent before a withdrawal seemed to come after it, and a refusal was called false while a duplicate of the same key was still in flight and was the one that ran. Conclusion: runs are dated at arrival, and attempts count from their send.

--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -93,6 +93,7 @@
                 let mut connection =
                     std::pin::pin!(builder.serve_connection(TokioIo::new(io), service));
                 tokio::select! {
+                    biased;
                     ended = connection.as_mut() => ended,
                     () = self.stop.cancelled() => {
                         connection.as_mut().graceful_shutdown();
@@ -106,6 +107,7 @@
                 let mut connection =
                     std::pin::pin!(builder.serve_connection(TokioIo::new(io), service));
                 tokio::select! {
+                    biased;
                     ended = connection.as_mut() => ended,
                     () = self.stop.cancelled() => {
                         connection.as_mut().graceful_shutdown();
--- a/crates/fescuelock-standin/src/engine.rs
+++ b/crates/fescuelock-standin/src/engine.rs
@@ -227,6 +227,8 @@
             return status(StatusCode::SERVICE_UNAVAILABLE);
         };
         let faults = self.state().faults.clone();
+        // Work counts from its arrival, whether or not it will be answered.
+        let job = self.start(id, &chat, &faults, body.len());
         if faults.silent {
             sleep(Duration::from_millis(HOLD_MS)).await;
         }
@@ -234,7 +236,6 @@
         if delay_us > 0 {
             sleep(Duration::from_micros(delay_us)).await;
         }
-        let job = self.start(id, &chat, &faults, body.len());
         if faults.lost_answer_share > 0.0 && self.draw(faults.lost_answer_share) {
             self.finish(&job, job.end - job.first, true);
             sleep(Duration::from_millis(HOLD_MS)).await;
--- a/crates/fescuelock-standin/src/faults.rs
+++ b/crates/fescuelock-standin/src/faults.rs
@@ -44,6 +44,8 @@
     pub lost_answer_share: f64,
     /// Whether watches wait for ever.
     pub silent_watches: bool,
+    /// Whether reads of an object give the value before the last.
+    pub stale_reads: bool,
     /// Age of the list of VMs, in milliseconds.
     pub list_lag_ms: u64,
 }
--- a/crates/fescuelock-standin/src/platform.rs
+++ b/crates/fescuelock-standin/src/platform.rs
@@ -72,9 +72,11 @@
     rng: ChaCha8Rng,
 }
 
+#[derive(Clone)]
 struct Stored {
     body: Bytes,
     version: u64,
+    previous: Option<Box<Stored>>,
 }
 
 impl PlatformStandin {
@@ -148,7 +150,7 @@
                 self.watch(key, request.uri(), faults.silent_watches).await
             }
 
-            (&Method::GET, Some(key)) => self.get(key),
+            (&Method::GET, Some(key)) => self.get(key, faults.stale_reads),
 
             (&Method::PUT, Some(key)) => {
                 let (head, body) = request.into_parts();
@@ -185,8 +187,9 @@
         state.faults.clone()
     }
 
-    fn get(&self, key: &str) -> Response<Body> {
+    fn get(&self, key: &str, stale: bool) -> Response<Body> {
         match self.state().objects.get(key) {
+            Some(Stored { previous: Some(previous), .. }) if stale => object(previous),
             Some(stored) => object(stored),
             None => status(StatusCode::NOT_FOUND),
         }
@@ -223,7 +226,11 @@
             }
             state.last_version += 1;
             let version = state.last_version;
-            state.objects.insert(key.to_owned(), Stored { body, version });
+            let previous = state.objects.remove(key).map(|mut stored| {
+                stored.previous = None;
+                Box::new(stored)
+            });
+            state.objects.insert(key.to_owned(), Stored { body, version, previous });
             let share = state.faults.lost_answer_share;
             (version, share > 0.0 && state.rng.random_bool(share))
         };
--- /dev/null
+++ b/scripts/break-promises.sh
@@ -0,0 +1,84 @@
+#!/usr/bin/env bash
+# Breaks the code on purpose, one promise at a time, and tells whether the fuzz test notices.
+# Works on a copy of the tree. Arguments: number of cases (default 400) and seed (default 1).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cases=${1:-400}
+seed=${2:-1}
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files -z | tar --null -T - -cf - | tar -xf - -C "$copy"
+export CARGO_TARGET_DIR=${CARGO_TARGET_DIR:-$copy/target}
+export FESCUELOCK_SEED=$seed FESCUELOCK_CASES=$cases
+cd "$copy"
+
+# Runs the fuzz test on the copy. Prints the number of cases that passed before a failure.
+fuzz() {
+    if timeout 900 cargo test --release --quiet -p fescuelock-load --test promises \
+        >"$copy/log" 2>&1; then
+        echo "not noticed in $cases cases"
+    elif grep -q "minimal failing input" "$copy/log"; then
+        echo "noticed after $(sed -n 's/^.*successes: \([0-9]*\).*$/\1/p' "$copy/log" | tail -1) cases"
+    else
+        echo "did not run: $(grep -m1 -E '^error' "$copy/log")"
+    fi
+}
+
+# Replaces text in a file, runs the fuzz test and puts the file back.
+break_promise() {
+    local name=$1 file=$2 old=$3 new=$4
+    cp "$file" "$copy/original"
+    OLD=$old NEW=$new perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/' "$file"
+    if cmp -s "$file" "$copy/original"; then
+        echo "$name: the text to break was not found"
+    else
+        rm -f crates/fescuelock-load/tests/promises.proptest-regressions
+        echo "$name: $(fuzz)"
+    fi
+    cp "$copy/original" "$file"
+}
+
+echo "unbroken: $(fuzz)"
+platform=crates/fescuelock-platform/src
+router=crates/fescuelock-router/src
+upstreams=crates/fescuelock-upstreams/src
+
+break_promise "a claim counts as recorded whatever the platform answers" $platform/claims.rs \
+    'put(&self.object, body.clone(), condition).await?;' \
+    'put(&self.object, body.clone(), condition).await.unwrap_or(crate::objects::ObjectVersion(0));'
+break_promise "a second claim of a key is granted" $platform/claim_record.rs \
+    'Some(record)) if record.nonce == claim.nonce => {' \
+    'Some(record)) if record.nonce != "" || claim.nonce == "" => {'
+break_promise "a claim is given back after an unknown outcome" $router/service.rs \
+    'Err(failure) if matches!(*failure, Outcome::NotRun(_)) => {' \
+    'Err(failure) if matches!(*failure, Outcome::NotRun(_) | Outcome::Unknown(_)) => {'
+break_promise "every call may be repeated" $router/service.rs \
+    'rule.repeatable.then_some(Repeatable)' 'Some(Repeatable)'
+break_promise "a lost call is told as not run" $upstreams/dispatch.rs \
+    'Dispatch::Lost(attempt, cause_of(&error))' \
+    '{ let _ = cause_of(&error); Dispatch::NotSent(attempt.returned(ReturnedRequest)) }'
+break_promise "a lower generation is adopted" crates/fescuelock-core/src/config.rs \
+    'std::cmp::Ordering::Less => Adoption::Stale,' \
+    'std::cmp::Ordering::Less => { self.current.store(Arc::new(view)); Adoption::Stale }'
+break_promise "placement is not confirmed before the send" crates/fescuelock-core/src/placement.rs \
+    'check_version(view, team_key, version)?;' ''
+break_promise "a session may move" $router/chat.rs \
+    'let SessionWish::Bound(binding) = wish else {' \
+    'let SessionWish::Bound(binding) = &SessionWish::None.clone() else {'
+break_promise "an end marker alone ends an answer" $router/relay.rs \
+    'true if reader.is_finished() => {' 'true if reader.is_finished() || batch.ended => {'
+break_promise "a clean close ends an answer" $router/relay.rs \
+    'Ok(Some(Err(_)) | None) => break UnknownCause::AnswerCut,' \
+    'Ok(Some(Err(_)) | None) => return Ending::Whole(self.usage(reader)),'
+break_promise "an answer's id is not checked" $upstreams/events.rs \
+    'Some(_) => Err(Error::Crossed),' 'Some(_) => Ok(()),'
+break_promise "a whole answer's id is not checked" $upstreams/chat.rs \
+    'return Err(Error::Crossed);' '{}'
+break_promise "a drain does not wait for bills" $router/node.rs \
+    'shared.bills.flush().await;' ''
+break_promise "a bill that may have been written is written again" $platform/bills.rs \
+    'Err(_) => sleep(Duration::from_millis(self.options.retry_ms)).await,' \
+    'Err(_) => { self.next_batch += 1; return Box::pin(self.write(batch)).await; }'
+break_promise "a cut stream is closed cleanly" $router/relay.rs \
+    'self.sender.abort().await;' \
+    'self.sender.send(Bytes::from_static(b"data: [DONE]\n\n")).await;'
