load: Add the experiments once, replace and config

Cause: the promises were fuzzed on a paused clock alone. Change: real sockets, threads and time, nine nodes.

--- a/crates/fescuelock-load/src/experiments/mod.rs
+++ b/crates/fescuelock-load/src/experiments/mod.rs
@@ -1,6 +1,10 @@
 //! The experiments. Each returns its figures as one JSON object.
 
+pub mod config;
+pub mod once;
 pub mod path;
+pub mod replace;
+pub mod traffic;
 
 use serde_json::Value;
 
@@ -28,8 +32,25 @@
 }
 
 /// Lists all experiments.
-pub const EXPERIMENTS: &[Experiment] = &[Experiment {
-    name: "path",
-    about: "throughput, overhead and memory of one node",
-    run: path::run,
-}];
+pub const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "path",
+        about: "throughput, overhead and memory of one node",
+        run: path::run,
+    },
+    Experiment {
+        name: "once",
+        about: "bookings with duplicates while nodes die and the platform loses answers",
+        run: once::run,
+    },
+    Experiment {
+        name: "replace",
+        about: "every node replaced under streaming load",
+        run: replace::run,
+    },
+    Experiment {
+        name: "config",
+        about: "racing edits, silent watches, stale reads and an outage",
+        run: config::run,
+    },
+];
--- /dev/null
+++ b/crates/fescuelock-load/src/experiments/replace.rs
@@ -0,0 +1,170 @@
+//! Every node is replaced, one after the other, under streaming load.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fescuelock_platform::bills::read_ledger;
+use fescuelock_standin::deployment::DeploymentOptions;
+use fescuelock_standin::engine::EngineOptions;
+use rand::RngExt;
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::Result;
+use crate::caller::{Chat, Reply};
+use crate::cluster::{Cluster, ClusterOptions};
+use crate::experiments::ExperimentOptions;
+use crate::experiments::traffic::{Directory, Record, rng, runtime};
+use crate::samples::{CHEAP_TEAM, CHEAP_VERSION, NEXT_VERSION, SampleOptions, rules};
+
+/// Nodes of the deployment, as many as a deployment has today.
+const NODES: usize = 9;
+/// Callers that hold one session each.
+const CALLERS: u64 = 100;
+/// First port of the stand-ins.
+const FIRST_PORT: u16 = 19_300;
+
+/// `Turn` is one answer within a session.
+struct Turn {
+    bound: String,
+    reply: Reply,
+}
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Returns the error of the part that could not be started.
+pub fn run(options: &ExperimentOptions) -> Result<Value> {
+    runtime()?.block_on(measure(options))
+}
+
+async fn measure(options: &ExperimentOptions) -> Result<Value> {
+    let sample = SampleOptions { first_port: FIRST_PORT, ..SampleOptions::default() };
+    let from_zero = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent=0");
+    let to_half = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent=50");
+    let mut cluster = Cluster::start(ClusterOptions {
+        nodes: NODES,
+        rules: rules(&sample).replace(&from_zero, &to_half),
+        seed: options.seed,
+        deployment: DeploymentOptions {
+            engine: EngineOptions {
+                first_token_us: 20_000,
+                token_gap_us: 10_000,
+                ..EngineOptions::default()
+            },
+            ..DeploymentOptions::default()
+        },
+        adjust: |settings| settings.shutdown.balancer_delay_ms = 300,
+        ..ClusterOptions::default()
+    })
+    .await?;
+    let directory = Directory::new(&cluster);
+    let turns = Record::default();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| tokio::spawn(talk(directory.clone(), turns.clone(), options.seed, caller)))
+        .collect();
+
+    // The share of the new version moves while the nodes are replaced.
+    let mut requests_cut = 0;
+    let mut bills_lost = 0;
+    let pause = Duration::from_secs(options.phase_s) / u32::try_from(NODES).unwrap_or(1);
+    for node in 0..NODES {
+        let leaving = cluster.take_node(node);
+        let draining = leaving.map(|leaving| tokio::spawn(leaving.drain().finish()));
+        directory.update(&cluster);
+        cluster.start_node(node).await?;
+        directory.update(&cluster);
+        let percent = [0, 50, 100][node % 3];
+        let share = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent={percent} ");
+        cluster.edit(|text| with_share(text, &share)).await?;
+        sleep(pause).await;
+        if let Some(Ok(drained)) = match draining {
+            Some(draining) => Some(draining.await),
+            None => None,
+        } {
+            requests_cut += drained.requests_cut;
+            bills_lost += drained.bills_lost;
+        }
+    }
+    directory.stop();
+    for caller in callers {
+        // A caller that panics is seen in the missing turns.
+        let _ = caller.await;
+    }
+    for node in 0..NODES {
+        if let Some(drained) = cluster.drain_node(node).await {
+            requests_cut += drained.requests_cut;
+            bills_lost += drained.bills_lost;
+        }
+    }
+    let turns = turns.take();
+    let ledger = read_ledger(cluster.store.as_ref()).await?;
+    let billed: BTreeSet<String> = ledger.bills.keys().map(ToString::to_string).collect();
+    let whole = turns.iter().filter(|turn| turn.reply.is_ok());
+    let report = json!({
+        "experiment": "replace",
+        "seed": options.seed,
+        "nodes_replaced": NODES,
+        "requests": turns.len(),
+        "ok": whole.clone().count(),
+        "cut": turns.iter().filter(|turn| !turn.reply.is_ok()).count(),
+        "session_moved": whole
+            .clone()
+            .filter(|turn| !turn.bound.is_empty() && turn.bound != turn.reply.version)
+            .count(),
+        "unbilled": whole.filter(|turn| !billed.contains(&turn.reply.request_id)).count(),
+        "billed_twice": ledger.duplicates,
+        "billed_tokens": ledger.bills.values().map(|bill| bill.usage.output_tokens).sum::<u64>(),
+        "engine_tokens": cluster
+            .deployment
+            .engines
+            .values()
+            .map(|engine| engine.report().output_tokens)
+            .sum::<u64>(),
+        "requests_cut_by_nodes": requests_cut,
+        "bills_lost_by_nodes": bills_lost,
+        "store_calls_per_s_max": cluster.deployment.platform.counts().per_s_max,
+    });
+    cluster.stop();
+    Ok(report)
+}
+
+/// Replaces the roll-out rule of a text.
+fn with_share(text: &str, share: &str) -> String {
+    text.lines()
+        .map(|line| match line.starts_with("rollout ") {
+            true => format!("{share} # asked by the load tool: experiment\n"),
+            false => format!("{line}\n"),
+        })
+        .collect()
+}
+
+/// Holds sessions of a few turns each.
+async fn talk(directory: Directory, record: Record<Turn>, seed: u64, caller: u64) {
+    let mut rng = rng(seed, caller);
+    let mut number = 0;
+    while directory.is_open() {
+        let mut session = "new".to_owned();
+        let mut bound = String::new();
+        for _ in 0..rng.random_range(1..20) {
+            number += 1;
+            let chat = Chat {
+                prompt: format!("turn {caller} {number}"),
+                tokens: rng.random_range(5..60),
+                stream: true,
+                session: Some(session.clone()),
+                ..Chat::default()
+            };
+            let reply = directory.caller(CHEAP_TEAM, &mut rng).chat(&chat).await;
+            if let Some(token) = &reply.session {
+                session.clone_from(token);
+                bound.clone_from(&reply.version);
+            }
+            record.add(Turn { bound: bound.clone(), reply });
+            if !directory.is_open() {
+                return;
+            }
+        }
+    }
+}
--- a/crates/fescuelock-load/tests/sessions.rs
+++ b/crates/fescuelock-load/tests/sessions.rs
@@ -14,7 +14,7 @@
     Chat {
         prompt: format!("session {index}"),
         session: Some(session.to_owned()),
-        stream: index % 2 == 0,
+        stream: index.is_multiple_of(2),
         ..Chat::default()
     }
 }
