--- a/crates/fescuelock-core/src/counters.rs
+++ b/crates/fescuelock-core/src/counters.rs
@@ -67,6 +67,16 @@
     ClaimsReplayed => "claims.replayed",
     /// Bills recorded.
     BillsRecorded => "bills.recorded",
+    /// Bills that another node held when this one ended the answer.
+    BillsHeld => "bills.held",
+    /// Bills of lost nodes that were recorded here.
+    BillsTakenOver => "bills.taken_over",
+    /// Links to other nodes that were opened or accepted.
+    LinksOpened => "links.opened",
+    /// Links to other nodes that were lost.
+    LinksLost => "links.lost",
+    /// Links that were refused because the other end did not prove a node key.
+    LinksRefused => "links.refused",
 }
 
 /// `Counters` holds the counts of one node.
--- a/crates/fescuelock-core/src/ids.rs
+++ b/crates/fescuelock-core/src/ids.rs
@@ -45,6 +45,19 @@
         RequestId((u128::from(rng.next_u64()) << 64) | u128::from(rng.next_u64()))
     }
 
+    /// Returns the id as its upper and lower 64 bits.
+    pub fn to_halves(self) -> (u64, u64) {
+        let low = self.0 & u128::from(u64::MAX);
+        let low = u64::try_from(low).expect("the upper bits are masked");
+        let high = u64::try_from(self.0 >> 64).expect("the lower bits are shifted out");
+        (high, low)
+    }
+
+    /// Builds an id from its upper and lower 64 bits.
+    pub fn from_halves(high: u64, low: u64) -> Self {
+        RequestId((u128::from(high) << 64) | u128::from(low))
+    }
+
     /// Derives the id of a keyed request, so that all its duplicates share one bill.
     pub fn from_digest(digest: &[u8; 32]) -> Self {
         let mut head = [0; 16];
--- a/crates/fescuelock-load/src/cluster.rs
+++ b/crates/fescuelock-load/src/cluster.rs
@@ -7,12 +7,14 @@
 use fescuelock_core::counters::Counters;
 use fescuelock_core::session::{SessionKeys, SigningKey};
 use fescuelock_http::net::{SharedNetwork, Tcp};
+use fescuelock_nodes::link::NodeKeys;
 use fescuelock_operators::edit::{self, Applied};
 use fescuelock_platform::http_store::{HttpStore, HttpStoreOptions};
 use fescuelock_router::logs;
 use fescuelock_router::node::{Drained, Environment, Node, Running};
 use fescuelock_router::settings::Settings;
 use fescuelock_standin::deployment::{Deployment, DeploymentOptions};
+use fescuelock_standin::platform::ListedVm;
 use tokio::time::timeout;
 
 use crate::{Error, Result};
@@ -21,6 +23,8 @@
 const READY_TIMEOUT_MS: u64 = 30_000;
 /// Secret of the sample session key.
 const SESSION_SECRET: &[u8] = b"0123456789abcdef";
+/// Secret of the sample node key.
+const NODE_SECRET: &[u8] = b"fedcba9876543210";
 
 /// `ClusterOptions` configures a deployment.
 #[derive(Clone)]
@@ -108,10 +112,15 @@
             Settings::new(format!("node-{index}"), format!("zone-{}", index % 2), keys);
         settings.callers_listen = "127.0.0.1:0".to_owned();
         settings.operators_listen = "127.0.0.1:0".to_owned();
+        settings.nodes_listen = "127.0.0.1:0".to_owned();
         settings.platform_address = self.deployment.platform_address.clone();
         settings.shutdown.balancer_delay_ms = 100;
         settings.shutdown.drain_ms = 60_000;
-        settings.claims.node = settings.node.clone();
+        settings.claims.node.clone_from(&settings.node);
+        settings.mesh.node.clone_from(&settings.node);
+        settings.mesh.zone.clone_from(&settings.zone);
+        let key = SigningKey { name: "sample".to_owned(), secret: NODE_SECRET.to_vec() };
+        settings.mesh.keys = NodeKeys { keys: vec![key] };
         (self.options.adjust)(&mut settings);
         settings
     }
@@ -137,9 +146,25 @@
         let ready = timeout(Duration::from_millis(READY_TIMEOUT_MS), node.ready()).await;
         ready.map_err(|_| Error::NotReady(format!("node-{index}")))?;
         self.nodes[index] = Some(node);
+        self.list_nodes();
         Ok(())
     }
 
+    /// Puts the nodes that run into the platform's list of VMs.
+    fn list_nodes(&self) {
+        let vms = self.nodes.iter().enumerate().filter_map(|(index, node)| {
+            let node = node.as_ref()?;
+            Some(ListedVm {
+                name: format!("node-{index}"),
+                address: node.operators_address().to_owned(),
+                role: "entry".to_owned(),
+                state: "live".to_owned(),
+                nodes_address: Some(node.nodes_address().to_owned()),
+            })
+        });
+        self.deployment.platform.set_vms(vms.collect());
+    }
+
     /// Starts a node without waiting until it is ready.
     ///
     /// # Errors
--- a/crates/fescuelock-load/src/experiments/replace.rs
+++ b/crates/fescuelock-load/src/experiments/replace.rs
@@ -114,7 +114,8 @@
             .filter(|turn| !turn.bound.is_empty() && turn.bound != turn.reply.version)
             .count(),
         "unbilled": whole.filter(|turn| !billed.contains(&turn.reply.request_id)).count(),
-        "billed_twice": ledger.duplicates,
+        "billed_twice": ledger.differing,
+        "duplicate_records": ledger.duplicates,
         "billed_tokens": ledger.bills.values().map(|bill| bill.usage.output_tokens).sum::<u64>(),
         "engine_tokens": cluster
             .deployment
--- a/crates/fescuelock-load/tests/configuration.rs
+++ b/crates/fescuelock-load/tests/configuration.rs
@@ -136,6 +136,7 @@
         address: "127.0.0.1:19001".to_owned(),
         role: "upstream".to_owned(),
         state: "leaving".to_owned(),
+        nodes_address: None,
     };
     bed.cluster.deployment.platform.set_vms(vec![leaving]);
     sleep(Duration::from_secs(3)).await;
--- /dev/null
+++ b/crates/fescuelock-nodes/src/mesh.rs
@@ -0,0 +1,613 @@
+//! The links of one node: which it keeps, what goes over them and what follows from their loss.
+
+use std::collections::{BTreeMap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use fescuelock_core::counters::{Counter, Counters};
+use fescuelock_core::tasks::Tasks;
+use fescuelock_http::net::{BoxFuture, BoxIo, Listener, SharedNetwork};
+use fescuelock_platform::bills::{Bill, BillHolder};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slog::{Logger, debug, info};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+use crate::held::HeldBills;
+use crate::link::{Introduction, Link, NodeKeys};
+use crate::members::{Member, MemberState, Members};
+use crate::messages::{Heartbeat, HeldBill, HeldId, Message};
+use crate::{Error, Result};
+
+/// Messages that wait for one link at most. A link that is slower is closed.
+const QUEUE_MAX: usize = 256;
+
+/// `MeshOptions` configures the links of a node.
+#[derive(Clone)]
+pub struct MeshOptions {
+    /// Id of the node.
+    pub node: String,
+    /// Availability zone of the node.
+    pub zone: String,
+    /// Tells this start of the node from earlier ones: milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Keys that nodes prove to each other.
+    pub keys: NodeKeys,
+    /// Links that this node keeps open by itself. Others open as many to it, on average. Defaults
+    /// to 4.
+    pub links: usize,
+    /// Interval of heartbeats on each link, in milliseconds. Defaults to 1,000.
+    pub heartbeat_ms: u64,
+    /// Silence after which a link is dropped, in milliseconds. Defaults to 3,000.
+    pub silence_ms: u64,
+    /// Time for a suspected node to refute, in milliseconds. Defaults to 5,000.
+    pub suspicion_ms: u64,
+    /// Time for another node to take a bill, in milliseconds. Defaults to 50.
+    pub hold_timeout_ms: u64,
+    /// Time after a lost link at which the bills of its node are recorded here, in milliseconds.
+    /// Defaults to 3,000.
+    pub take_over_ms: u64,
+    /// Seed of the node's choices.
+    pub seed: u64,
+}
+
+impl Default for MeshOptions {
+    fn default() -> Self {
+        MeshOptions {
+            node: "node".to_owned(),
+            zone: String::new(),
+            incarnation: 0,
+            keys: NodeKeys::default(),
+            links: 4,
+            heartbeat_ms: 1_000,
+            silence_ms: 3_000,
+            suspicion_ms: 5_000,
+            hold_timeout_ms: 50,
+            take_over_ms: 3_000,
+            seed: 0,
+        }
+    }
+}
+
+/// `LocalNode` is what the links need of the node that they belong to.
+pub trait LocalNode: Send + Sync + 'static {
+    /// Returns the generation of the rules in force.
+    fn generation(&self) -> u64;
+
+    /// Returns the text of the rules in force with its generation.
+    fn rules(&self) -> Option<(u64, String)>;
+
+    /// Takes the rules of a higher generation from another node.
+    fn offer_rules(&self, generation: u64, text: &str);
+
+    /// Records the bill of a node that has died.
+    fn record_held(&self, bill: Bill);
+}
+
+/// `Mesh` is the set of links of one node.
+#[derive(Clone)]
+pub struct Mesh {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    network: SharedNetwork,
+    options: MeshOptions,
+    counters: Counters,
+    logger: Logger,
+    tasks: Tasks,
+    state: Mutex<State>,
+    bytes_sent: AtomicU64,
+}
+
+struct State {
+    members: Members,
+    links: BTreeMap<String, Handle>,
+    dialling: BTreeMap<String, Instant>,
+    suspected: HashMap<String, Instant>,
+    held: HeldBills,
+    waiting: HashMap<u64, oneshot::Sender<()>>,
+    generations: BTreeMap<String, u64>,
+    seeds: Vec<String>,
+    next_number: u64,
+    rng: ChaCha8Rng,
+}
+
+/// `Handle` leads to the task of one link.
+#[derive(Clone)]
+struct Handle {
+    number: u64,
+    queue: mpsc::Sender<Message>,
+}
+
+impl Mesh {
+    /// Builds the links of a node. No connection is opened before [`Mesh::run`].
+    pub fn new(
+        network: SharedNetwork,
+        address: &str,
+        options: MeshOptions,
+        counters: Counters,
+        logger: Logger,
+        tasks: Tasks,
+    ) -> Self {
+        let own = Member {
+            node: options.node.clone(),
+            address: address.to_owned(),
+            zone: options.zone.clone(),
+            incarnation: options.incarnation,
+            state: MemberState::Alive,
+        };
+        let state = State {
+            members: Members::new(own),
+            links: BTreeMap::new(),
+            dialling: BTreeMap::new(),
+            suspected: HashMap::new(),
+            held: HeldBills::default(),
+            waiting: HashMap::new(),
+            generations: BTreeMap::new(),
+            seeds: Vec::new(),
+            next_number: 0,
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+        };
+        let inner = Inner {
+            network,
+            options,
+            counters,
+            logger,
+            tasks,
+            state: Mutex::new(state),
+            bytes_sent: AtomicU64::new(0),
+        };
+        Mesh { inner: Arc::new(inner) }
+    }
+
+    /// Accepts links and keeps its own ones open until the node's tasks end.
+    pub fn run(&self, listener: Box<dyn Listener>, node: Arc<impl LocalNode>) {
+        let tasks = &self.inner.tasks;
+        tasks.spawn(Arc::clone(&self.inner).accept_links(listener, Arc::clone(&node)));
+        tasks.spawn(Arc::clone(&self.inner).keep_links(node));
+    }
+
+    /// Replaces the addresses at which nodes are looked for when too few are known.
+    pub fn set_seeds(&self, seeds: Vec<String>) {
+        self.inner.state().seeds = seeds;
+    }
+
+    /// Returns the number of nodes that live, this one among them.
+    pub fn alive(&self) -> usize {
+        self.inner.state().members.alive()
+    }
+
+    /// Returns the number of open links.
+    pub fn links(&self) -> usize {
+        self.inner.state().links.len()
+    }
+
+    /// Returns the bytes of messages sent since the start.
+    pub fn bytes_sent(&self) -> u64 {
+        self.inner.bytes_sent.load(Ordering::Relaxed)
+    }
+
+    /// Tells the other nodes at once that a generation is in force here.
+    pub fn announce(&self, generation: u64) {
+        let mut state = self.inner.state();
+        let heartbeat = state.heartbeat(generation);
+        state.broadcast(&Message::Heartbeat(heartbeat), None);
+    }
+
+    /// Tells the other nodes that this one stops, and returns the bills that it holds for them.
+    pub fn leave(&self) -> Vec<Bill> {
+        let mut state = self.inner.state();
+        let news = state.members.leave();
+        state.broadcast(&Message::Members(news), None);
+        state.held.take_all().into_iter().map(Bill::from).collect()
+    }
+}
+
+impl BillHolder for Mesh {
+    fn hold<'a>(&'a self, bill: &'a Bill) -> BoxFuture<'a, bool> {
+        Box::pin(self.inner.hold(bill))
+    }
+
+    fn release(&self, bills: &[Bill]) {
+        let ids: Vec<HeldId> = bills.iter().map(|bill| bill.request.into()).collect();
+        self.inner.state().broadcast(&Message::Release(ids), None);
+    }
+}
+
+impl State {
+    fn heartbeat(&self, generation: u64) -> Heartbeat {
+        Heartbeat { generation, members_digest: self.members.digest() }
+    }
+
+    /// Queues a message on every link but one.
+    fn broadcast(&mut self, message: &Message, except: Option<&str>) {
+        for (node, handle) in &self.links {
+            if Some(node.as_str()) != except {
+                // A full queue ends the link at its next deadline.
+                let _ = handle.queue.try_send(message.clone());
+            }
+        }
+    }
+
+    /// Merges entries of the table and forwards what is news.
+    fn merge(&mut self, entries: Vec<Member>, from: Option<&str>, now: Instant) {
+        let news = self.members.merge(entries);
+        for member in &news {
+            match member.state {
+                MemberState::Suspect => {
+                    self.suspected.entry(member.node.clone()).or_insert(now);
+                }
+                _ => {
+                    self.suspected.remove(&member.node);
+                }
+            }
+        }
+        if !news.is_empty() {
+            self.broadcast(&Message::Members(news), from);
+        }
+    }
+
+    /// Returns the addresses of the nodes that this one should have links to and has not.
+    fn wanted(&mut self, own: &str, links: usize, now: Instant) -> Vec<String> {
+        let mut ranked: Vec<(u64, &Member)> =
+            self.members.others().map(|member| (rank(own, &member.node), member)).collect();
+        ranked.sort_by_key(|(rank, _)| *rank);
+        let missing = ranked
+            .iter()
+            .take(links)
+            .filter(|(_, member)| !self.links.contains_key(&member.node))
+            .map(|(_, member)| member.address.clone());
+        let mut wanted: Vec<String> = missing.collect();
+        // Seeds that no known node has are looked up one at a time, which also heals a cut.
+        let known: Vec<&str> = self
+            .members
+            .iter()
+            .filter(|member| member.node == own || member.state <= MemberState::Suspect)
+            .map(|member| member.address.as_str())
+            .collect();
+        let unknown: Vec<String> =
+            self.seeds.iter().filter(|seed| !known.contains(&seed.as_str())).cloned().collect();
+        if !unknown.is_empty() {
+            let index = self.rng.random_range(0..unknown.len());
+            wanted.push(unknown[index].clone());
+        }
+        self.dialling.retain(|_, until| *until > now);
+        wanted.retain(|address| !self.dialling.contains_key(address));
+        wanted
+    }
+}
+
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn introduction(&self) -> Introduction {
+        let nonce = self.state().rng.next_u64();
+        let key = self.options.keys.keys.first().map_or_else(String::new, |key| key.name.clone());
+        Introduction { node: self.options.node.clone(), nonce, key }
+    }
+
+    async fn accept_links(self: Arc<Self>, listener: Box<dyn Listener>, node: Arc<impl LocalNode>) {
+        loop {
+            match listener.accept().await {
+                Ok(io) => {
+                    self.tasks.spawn(Arc::clone(&self).accept_link(io, Arc::clone(&node)));
+                }
+                Err(_) => sleep(Duration::from_millis(self.options.heartbeat_ms)).await,
+            }
+        }
+    }
+
+    async fn accept_link(self: Arc<Self>, io: BoxIo, node: Arc<impl LocalNode>) {
+        let introduction = self.introduction();
+        match Link::accept(io, &self.options.keys, introduction).await {
+            Ok(link) => {
+                let dialler = link.node.clone();
+                self.serve(link, dialler, node).await;
+            }
+            Err(error) => self.note_refused(&error),
+        }
+    }
+
+    /// Keeps links open, and acts on suspicions and lost nodes.
+    async fn keep_links(self: Arc<Self>, node: Arc<impl LocalNode>) {
+        let mut ticks = interval(Duration::from_millis(self.options.heartbeat_ms / 2 + 1));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let now = Instant::now();
+            let wanted = {
+                let mut state = self.state();
+                self.bury(&mut state, now);
+                let wanted = state.wanted(&self.options.node, self.options.links, now);
+                let until = now + Duration::from_millis(self.options.silence_ms);
+                for address in &wanted {
+                    state.dialling.insert(address.clone(), until);
+                }
+                wanted
+            };
+            for address in wanted {
+                self.tasks.spawn(Arc::clone(&self).dial(address, Arc::clone(&node)));
+            }
+            let lost_before = now.checked_sub(Duration::from_millis(self.options.take_over_ms));
+            let bills = match lost_before {
+                Some(lost_before) => self.state().held.take_over(lost_before),
+                None => Vec::new(),
+            };
+            for bill in bills {
+                self.counters.count(Counter::BillsTakenOver);
+                node.record_held(bill.into());
+            }
+        }
+    }
+
+    /// Declares nodes dead whose suspicion was not refuted in time.
+    fn bury(&self, state: &mut State, now: Instant) {
+        let limit = Duration::from_millis(self.options.suspicion_ms);
+        let dead: Vec<String> = state
+            .suspected
+            .iter()
+            .filter(|(_, since)| now.duration_since(**since) >= limit)
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in dead {
+            state.suspected.remove(&node);
+            state.generations.remove(&node);
+            let news = state.members.mark(&node, MemberState::Dead);
+            state.broadcast(&Message::Members(news), None);
+            info!(self.logger, "node declared dead"; "dead" => node);
+        }
+    }
+
+    async fn dial(self: Arc<Self>, address: String, node: Arc<impl LocalNode>) {
+        let opened = async {
+            let limit = Duration::from_millis(self.options.silence_ms);
+            let connected = timeout(limit, self.network.connect(&address)).await;
+            let io =
+                connected.map_err(|_| Error::Silent { limit_ms: self.options.silence_ms })??;
+            Link::dial(io, &self.options.keys, self.introduction()).await
+        };
+        match opened.await {
+            Ok(link) => {
+                let dialler = self.options.node.clone();
+                self.serve(link, dialler, node).await;
+            }
+
+            Err(error) => {
+                debug!(self.logger, "cannot open a link"; "error" => error.to_string());
+                self.suspect_address(&address);
+            }
+        }
+    }
+
+    fn suspect_address(&self, address: &str) {
+        let mut state = self.state();
+        let found = state.members.others().find(|member| member.address == address);
+        if let Some(node) = found.map(|member| member.node.clone()) {
+            self.suspect(&mut state, &node);
+        }
+    }
+
+    fn suspect(&self, state: &mut State, node: &str) {
+        let news = state.members.mark(node, MemberState::Suspect);
+        if !news.is_empty() {
+            state.suspected.insert(node.to_owned(), Instant::now());
+            state.broadcast(&Message::Members(news), None);
+        }
+    }
+
+    /// Serves one link until it fails.
+    async fn serve(self: Arc<Self>, mut link: Link, dialler: String, node: Arc<impl LocalNode>) {
+        let (queue, outgoing) = mpsc::channel(QUEUE_MAX);
+        let peer = link.node.clone();
+        let Some(number) = self.register(&peer, &dialler, queue) else {
+            return;
+        };
+        self.counters.count(Counter::LinksOpened);
+        let error = self.exchange(&mut link, outgoing, &node).await;
+        let mut state = self.state();
+        if state.links.get(&peer).is_some_and(|handle| handle.number == number) {
+            state.links.remove(&peer);
+            state.held.lose(&peer, Instant::now());
+            self.counters.count(Counter::LinksLost);
+            debug!(self.logger, "link lost"; "peer" => &peer, "error" => error.to_string());
+        }
+    }
+
+    /// Enters a link among those that are open, unless a better one to the same node is.
+    ///
+    /// Of two links that both ends open at once, both keep the one that the lesser id dialled.
+    fn register(&self, peer: &str, dialler: &str, queue: mpsc::Sender<Message>) -> Option<u64> {
+        let own = self.options.node.as_str();
+        let mut state = self.state();
+        let is_preferred = dialler == own.min(peer);
+        if peer == own || (!is_preferred && state.links.contains_key(peer)) {
+            return None;
+        }
+        state.next_number += 1;
+        let number = state.next_number;
+        let table = state.members.iter().cloned().collect();
+        // The queue is empty, so there is room.
+        let _ = queue.try_send(Message::Members(table));
+        state.links.insert(peer.to_owned(), Handle { number, queue });
+        Some(number)
+    }
+
+    /// Sends and receives until the link fails, and returns why.
+    async fn exchange(
+        &self,
+        link: &mut Link,
+        mut outgoing: mpsc::Receiver<Message>,
+        node: &Arc<impl LocalNode>,
+    ) -> Error {
+        let mut beats = interval(Duration::from_millis(self.options.heartbeat_ms));
+        beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let silence = Duration::from_millis(self.options.silence_ms);
+        let mut heard = Instant::now();
+        loop {
+            let step = tokio::select! {
+                biased;
+                message = outgoing.recv() => match message {
+                    Some(message) => self.send(link, message).await,
+                    // The handle was replaced by that of a newer link.
+                    None => Err(Error::Closed),
+                },
+                message = link.receive() => match message {
+                    Ok(message) => {
+                        heard = Instant::now();
+                        self.receive(link, message, node).await
+                    }
+                    Err(error) => Err(error),
+                },
+                _ = beats.tick() => match heard.elapsed() > silence {
+                    true => Err(Error::Silent { limit_ms: self.options.silence_ms }),
+                    false => {
+                        let heartbeat = self.state().heartbeat(node.generation());
+                        self.send(link, Message::Heartbeat(heartbeat)).await
+                    }
+                },
+            };
+            if let Err(error) = step {
+                return error;
+            }
+        }
+    }
+
+    async fn send(&self, link: &mut Link, message: Message) -> Result<()> {
+        let limit_ms = self.options.silence_ms;
+        let sent = timeout(Duration::from_millis(limit_ms), link.send(&message)).await;
+        let size = sent.map_err(|_| Error::Silent { limit_ms })??;
+        self.bytes_sent.fetch_add(u64::try_from(size).unwrap_or(u64::MAX), Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Acts on one message.
+    async fn receive(
+        &self,
+        link: &mut Link,
+        message: Message,
+        node: &Arc<impl LocalNode>,
+    ) -> Result<()> {
+        let peer = link.node.clone();
+        match message {
+            Message::Heartbeat(heartbeat) => self.compare(link, heartbeat, node).await,
+
+            Message::Members(entries) => {
+                self.state().merge(entries, Some(&peer), Instant::now());
+                Ok(())
+            }
+
+            Message::RulesRequest(above) => match node.rules() {
+                Some((generation, text)) if generation > above => {
+                    self.send(link, Message::Rules(generation, text)).await
+                }
+                _ => Ok(()),
+            },
+
+            Message::Rules(generation, text) => {
+                node.offer_rules(generation, &text);
+                Ok(())
+            }
+
+            Message::Hold(number, bills) => {
+                let is_held = self.state().held.hold(&peer, bills);
+                match is_held {
+                    true => self.send(link, Message::Held(number)).await,
+                    false => Ok(()),
+                }
+            }
+
+            Message::Held(number) => {
+                if let Some(waiting) = self.state().waiting.remove(&number) {
+                    // The asker may have gone on without the answer.
+                    let _ = waiting.send(());
+                }
+                Ok(())
+            }
+
+            Message::Release(ids) => {
+                self.state().held.release(&peer, &ids);
+                Ok(())
+            }
+        }
+    }
+
+    /// Asks for what the other node knows and this one does not.
+    async fn compare(
+        &self,
+        link: &mut Link,
+        heartbeat: Heartbeat,
+        node: &Arc<impl LocalNode>,
+    ) -> Result<()> {
+        let (table, agreed) = {
+            let mut state = self.state();
+            state.generations.insert(link.node.clone(), heartbeat.generation);
+            let differs = state.members.digest() != heartbeat.members_digest;
+            // Tables differ for moments while news travel; only a part of the beats repairs them.
+            let repair = differs && state.rng.random_ratio(1, 4);
+            let table: Option<Vec<Member>> =
+                repair.then(|| state.members.iter().cloned().collect());
+            (table, state.generations.len())
+        };
+        if let Some(table) = table {
+            self.send(link, Message::Members(table)).await?;
+        }
+        let own = node.generation();
+        // A node without rules waits until several others have told theirs, and takes the highest.
+        let is_trusted = own > 0 || agreed >= 2;
+        if heartbeat.generation > own && is_trusted {
+            self.send(link, Message::RulesRequest(own)).await?;
+        }
+        Ok(())
+    }
+
+    /// Has another node hold a bill. Returns whether one does.
+    async fn hold(&self, bill: &Bill) -> bool {
+        let (waiting, held) = oneshot::channel();
+        let number = {
+            let mut state = self.state();
+            // A node in another zone is not lost with this one's zone.
+            let own_zone = &self.options.zone;
+            let is_far =
+                |node: &str| state.members.get(node).is_some_and(|member| member.zone != *own_zone);
+            let holder = state
+                .links
+                .iter()
+                .max_by_key(|(node, _)| (is_far(node.as_str()), rank(&self.options.node, node)));
+            let Some(handle) = holder.map(|(_, handle)| handle.clone()) else {
+                return false;
+            };
+            state.next_number += 1;
+            let number = state.next_number;
+            let message = Message::Hold(number, vec![HeldBill::from(bill)]);
+            if handle.queue.try_send(message).is_err() {
+                return false;
+            }
+            state.waiting.insert(number, waiting);
+            number
+        };
+        let limit = Duration::from_millis(self.options.hold_timeout_ms);
+        let is_held = timeout(limit, held).await.is_ok_and(|held| held.is_ok());
+        if !is_held {
+            self.state().waiting.remove(&number);
+        }
+        is_held
+    }
+
+    fn note_refused(&self, error: &Error) {
+        self.counters.count(Counter::LinksRefused);
+        debug!(self.logger, "link refused"; "error" => error.to_string());
+    }
+}
+
+/// Ranks a node among those that another may link to, the same in every process.
+fn rank(own: &str, other: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (own, other).hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/fescuelock-operators/src/admin.rs
+++ b/crates/fescuelock-operators/src/admin.rs
@@ -28,6 +28,12 @@
     pub bills_backlog: u64,
     /// Resident memory of the process in KiB, if the system tells.
     pub rss_kib: Option<u64>,
+    /// Nodes that live, as this one knows, itself among them.
+    pub nodes_alive: u64,
+    /// Open links to other nodes.
+    pub links: u64,
+    /// Bytes of messages sent to other nodes since the start.
+    pub link_bytes_sent: u64,
     /// Counters since the start of the node.
     pub counters: BTreeMap<String, u64>,
 }
--- a/crates/fescuelock-platform/src/bills.rs
+++ b/crates/fescuelock-platform/src/bills.rs
@@ -9,11 +9,14 @@
 use fescuelock_core::counters::{Counter, Counters};
 use fescuelock_core::ids::RequestId;
 use fescuelock_core::units::Usage;
+use fescuelock_http::net::BoxFuture;
 use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, serde_as};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::claim_record::Shard;
+use crate::claims::CLAIMS_PREFIX;
 use crate::objects::{Condition, ObjectStore, SharedStore};
 use crate::{Error, Result};
 
@@ -39,6 +42,15 @@
     pub at_ms: u64,
 }
 
+/// `BillHolder` keeps bills on another VM until they are recorded, so that they outlive this one.
+pub trait BillHolder: Send + Sync {
+    /// Has a bill held. Returns whether it is, within a bounded time.
+    fn hold<'a>(&'a self, bill: &'a Bill) -> BoxFuture<'a, bool>;
+
+    /// Tells that bills are recorded and need not be held.
+    fn release(&self, bills: &[Bill]);
+}
+
 /// `RecorderOptions` configures the recording of bills.
 #[derive(Debug, Clone)]
 pub struct RecorderOptions {
@@ -77,11 +89,13 @@
 }
 
 /// `Recorder` takes the bills of one node.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct Recorder {
     entries: mpsc::UnboundedSender<Entry>,
     backlog: Arc<AtomicUsize>,
     backlog_max: usize,
+    holder: Option<Arc<dyn BillHolder>>,
+    counters: Counters,
 }
 
 /// `Writer` writes the bills of one node in batches.
@@ -91,6 +105,7 @@
     counters: Counters,
     entries: mpsc::UnboundedReceiver<Entry>,
     backlog: Arc<AtomicUsize>,
+    holder: Option<Arc<dyn BillHolder>>,
     next_batch: u64,
 }
 
@@ -99,6 +114,7 @@
     store: SharedStore,
     options: RecorderOptions,
     counters: Counters,
+    holder: Option<Arc<dyn BillHolder>>,
 ) -> (Recorder, Writer) {
     let (sender, entries) = mpsc::unbounded_channel();
     let backlog = Arc::new(AtomicUsize::new(0));
@@ -106,11 +122,24 @@
         entries: sender,
         backlog: Arc::clone(&backlog),
         backlog_max: options.backlog_max,
+        holder: holder.clone(),
+        counters: counters.clone(),
     };
-    (recorder, Writer { store, options, counters, entries, backlog, next_batch: 0 })
+    (recorder, Writer { store, options, counters, entries, backlog, holder, next_batch: 0 })
 }
 
 impl Recorder {
+    /// Has a bill held on another VM for as long as it waits for its batch.
+    pub async fn record_held(&self, bill: Bill) {
+        // The bill is queued first: a failing holder must not lose it.
+        self.record(bill.clone());
+        if let Some(holder) = &self.holder
+            && holder.hold(&bill).await
+        {
+            self.counters.count(Counter::BillsHeld);
+        }
+    }
+
     /// Takes a bill for the next batch.
     pub fn record(&self, bill: Bill) {
         self.backlog.fetch_add(1, Ordering::Relaxed);
@@ -178,6 +207,9 @@
             }
         }
         self.backlog.fetch_sub(batch.len(), Ordering::Relaxed);
+        if let Some(holder) = &self.holder {
+            holder.release(batch);
+        }
         let recorded = u64::try_from(batch.len()).unwrap_or(u64::MAX);
         self.counters.add(Counter::BillsRecorded, recorded);
     }
@@ -208,6 +240,8 @@
     pub bills: BTreeMap<RequestId, Bill>,
     /// Records that repeated a request's bill.
     pub duplicates: u64,
+    /// Records that repeated a request's bill with another cost.
+    pub differing: u64,
     /// Records that could not be decoded.
     pub malformed: u64,
 }
@@ -218,6 +252,7 @@
         match self.bills.get(&bill.request) {
             Some(known) => {
                 self.duplicates += 1;
+                self.differing += u64::from(known.cost_micros != bill.cost_micros);
                 if (bill.at_ms, &bill.serving) < (known.at_ms, &known.serving) {
                     self.bills.insert(bill.request, bill);
                 }
@@ -230,7 +265,7 @@
     }
 }
 
-/// Reads and merges all bills.
+/// Reads and merges all bills, those that claims still carry among them.
 ///
 /// # Errors
 ///
@@ -248,5 +283,19 @@
             }
         }
     }
+    for key in store.list(CLAIMS_PREFIX).await? {
+        let Some(object) = store.get(&key).await? else {
+            continue;
+        };
+        match serde_json::from_slice::<Shard>(&object.body) {
+            Ok(shard) => shard
+                .claims
+                .into_values()
+                .filter_map(|record| record.result?.bill)
+                .for_each(|bill| ledger.merge(bill)),
+
+            Err(_) => ledger.malformed += 1,
+        }
+    }
     Ok(ledger)
 }
--- a/crates/fescuelock-platform/src/claim_record.rs
+++ b/crates/fescuelock-platform/src/claim_record.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, serde_as};
 
+use crate::bills::Bill;
+
 /// `StoredResult` is the answer of a finished call, kept for its duplicates.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredResult {
@@ -15,6 +17,8 @@
     pub content_type: Option<String>,
     /// Body of the answer, if it was text and small enough to be kept.
     pub body: Option<String>,
+    /// The bill of the call, if it is to be paid.
+    pub bill: Option<Bill>,
 }
 
 /// `ClaimRecord` states that one attempt of a keyed call may be sent.
@@ -120,9 +124,14 @@
         }
     }
 
-    /// Removes the claims that are older than the retention time.
-    pub fn expire(&mut self, now_ms: u64, retention_ms: u64) {
-        self.claims.retain(|_, record| record.claimed_ms.saturating_add(retention_ms) > now_ms);
+    /// Removes the claims that are older than the retention time, and returns their bills.
+    pub fn expire(&mut self, now_ms: u64, retention_ms: u64) -> Vec<Bill> {
+        let is_old =
+            |record: &ClaimRecord| record.claimed_ms.saturating_add(retention_ms) <= now_ms;
+        self.claims
+            .extract_if(.., |_, record| is_old(record))
+            .filter_map(|(_, record)| record.result?.bill)
+            .collect()
     }
 }
 
--- a/crates/fescuelock-platform/src/claims.rs
+++ b/crates/fescuelock-platform/src/claims.rs
@@ -14,12 +14,16 @@
 use fescuelock_core::counters::{Counter, Counters};
 use fescuelock_core::tasks::Tasks;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::bills::Recorder;
 use crate::claim_record::{ClaimRecord, Operation, Shard, StoredResult, Verdict};
 use crate::objects::{Condition, Object, SharedStore};
 use crate::{Error, Result};
 
+/// Prefix of the objects that hold claims.
+pub const CLAIMS_PREFIX: &str = "claims/";
+
 /// `ClaimOptions` configures the recording of claims.
 #[derive(Debug, Clone)]
 pub struct ClaimOptions {
@@ -35,6 +39,9 @@
     pub retention_ms: u64,
     /// Pause between tries to write, in milliseconds. Defaults to 20.
     pub retry_ms: u64,
+    /// Time for which an answer is held back until its result is recorded, in milliseconds. Defaults
+    /// to 500.
+    pub finish_wait_ms: u64,
     /// Operations that may wait for the platform in one shard. Defaults to 1,024.
     pub queue_max: usize,
 }
@@ -48,6 +55,7 @@
             claim_timeout_ms: 2_000,
             retention_ms: 3_600_000,
             retry_ms: 20,
+            finish_wait_ms: 500,
             queue_max: 1_024,
         }
     }
@@ -95,6 +103,7 @@
     options: ClaimOptions,
     counters: Counters,
     tasks: Tasks,
+    bills: Recorder,
     shards: Mutex<HashMap<u16, mpsc::Sender<Request>>>,
     pending: AtomicUsize,
 }
@@ -134,10 +143,11 @@
         options: ClaimOptions,
         counters: Counters,
         tasks: Tasks,
+        bills: Recorder,
     ) -> Self {
         let shards = Mutex::default();
         let pending = AtomicUsize::new(0);
-        let inner = Inner { store, clock, options, counters, tasks, shards, pending };
+        let inner = Inner { store, clock, options, counters, tasks, bills, shards, pending };
         Claims { inner: Arc::new(inner) }
     }
 
@@ -167,7 +177,7 @@
 
             Some(Verdict::Free) | None => {
                 // The write may still take effect: its claim is withdrawn once the platform answers.
-                inner.submit(key, Operation::Release { nonce }).await;
+                inner.submit(key, Operation::Release { nonce }, None).await;
                 Granting::Unavailable
             }
         }
@@ -181,15 +191,25 @@
         }
     }
 
-    /// Stores the result of a call, as soon as the platform takes it.
+    /// Stores the result of a call with its bill.
+    ///
+    /// Returns once it is recorded, or after a bounded time; then it is recorded as soon as the
+    /// platform takes it.
     pub async fn finish(&self, claim: Claim, result: StoredResult) {
         let operation = Operation::Finish { nonce: claim.nonce, result };
-        self.inner.submit(claim.key, operation).await;
+        let (reply, recorded) = oneshot::channel();
+        let wait = Duration::from_millis(self.inner.options.finish_wait_ms);
+        let recording = async {
+            self.inner.submit(claim.key, operation, Some(reply)).await;
+            recorded.await
+        };
+        // The result stays in the queue of its shard when the time is over.
+        let _ = timeout(wait, recording).await;
     }
 
     /// Gives back the claim of a call that was never sent, as soon as the platform takes it.
     pub async fn release(&self, claim: Claim) {
-        self.inner.submit(claim.key, Operation::Release { nonce: claim.nonce }).await;
+        self.inner.submit(claim.key, Operation::Release { nonce: claim.nonce }, None).await;
     }
 
     /// Waits until no operation waits for the platform.
@@ -220,9 +240,14 @@
     }
 
     /// Submits an operation that must be recorded however long it takes.
-    async fn submit(self: &Arc<Self>, key: ClaimKey, operation: Operation) {
+    async fn submit(
+        self: &Arc<Self>,
+        key: ClaimKey,
+        operation: Operation,
+        reply: Option<oneshot::Sender<Verdict>>,
+    ) {
         let _pending = Pending::start(self);
-        let request = Request { key, operation, deadline: None, reply: None, _pending };
+        let request = Request { key, operation, deadline: None, reply, _pending };
         // A full queue holds the request back, which bounds the memory in a long outage.
         let _ = self.shard(key).send(request).await;
     }
@@ -235,7 +260,7 @@
             let (sender, queue) = mpsc::channel(self.options.queue_max);
             let worker = Worker {
                 inner: Arc::clone(self),
-                object: format!("claims/{number:05}"),
+                object: format!("{CLAIMS_PREFIX}{number:05}"),
                 queue,
                 cached: None,
             };
@@ -294,8 +319,13 @@
             None => self.read().await?,
         };
         let options = &self.inner.options;
-        current.shard.expire(self.inner.clock.now_ms(), options.retention_ms);
-        let mut changed = false;
+        let expired = current.shard.expire(self.inner.clock.now_ms(), options.retention_ms);
+        // Bills outlive the claims that carried them. They are kept elsewhere first: a bill that is
+        // recorded twice counts once.
+        let mut changed = !expired.is_empty();
+        for bill in expired {
+            self.inner.bills.record(bill);
+        }
         let mut verdicts = Vec::with_capacity(batch.len());
         for request in batch.iter() {
             let (verdict, request_changed) = current.shard.apply(request.key, &request.operation);
--- a/crates/fescuelock-platform/src/config.rs
+++ b/crates/fescuelock-platform/src/config.rs
@@ -1,6 +1,7 @@
 //! Follows the rules object and puts each new generation in force.
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use fescuelock_core::config::{Adoption, ConfigCell};
@@ -30,16 +31,30 @@
     }
 }
 
+/// `Adopter` puts rules in force, whether they come from the platform or from another node.
+pub struct Adopter {
+    config: Arc<ConfigCell>,
+    counters: Counters,
+    logger: Logger,
+    text: Mutex<Option<RulesText>>,
+    is_reachable: AtomicBool,
+}
+
+/// `RulesText` is the text of one generation of the rules.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RulesText {
+    /// The generation.
+    pub generation: u64,
+    /// The text.
+    pub text: String,
+}
+
 /// `Follower` keeps the configuration of one node up to date.
 pub struct Follower {
     /// The platform.
     pub store: SharedStore,
-    /// Where the configuration is put in force.
-    pub config: Arc<ConfigCell>,
-    /// Counters of the node.
-    pub counters: Counters,
-    /// Log of the node.
-    pub logger: Logger,
+    /// Puts the rules in force.
+    pub adopter: Arc<Adopter>,
     /// Options.
     pub options: FollowerOptions,
 }
@@ -48,17 +63,14 @@
     /// Follows the rules until the task is dropped.
     pub async fn run(self) {
         let mut seen = None;
-        let mut reachable = true;
         loop {
             let read = self.read(seen).await;
-            if read.is_ok() != reachable {
-                reachable = read.is_ok();
-                info!(self.logger, "platform reachability changed"; "reachable" => reachable);
-            }
+            self.adopter.note_reachable(read.is_ok());
             match read {
                 Ok(Some(object)) => {
                     seen = seen.max(Some(object.version));
-                    self.offer(&object);
+                    let text = String::from_utf8_lossy(&object.body);
+                    self.adopter.offer(object.version.0, &text);
                 }
 
                 // An object that does not exist yet answers at once.
@@ -79,12 +91,44 @@
         }
     }
 
-    /// Puts an object's rules in force if they are valid and newer.
-    pub fn offer(&self, object: &Object) {
-        let ObjectVersion(version) = object.version;
+    async fn pause(&self) {
+        sleep(Duration::from_millis(self.options.retry_ms)).await;
+    }
+}
+
+impl Adopter {
+    /// Builds an adopter for the configuration of one node.
+    pub fn new(config: Arc<ConfigCell>, counters: Counters, logger: Logger) -> Self {
+        let is_reachable = AtomicBool::new(true);
+        Adopter { config, counters, logger, text: Mutex::default(), is_reachable }
+    }
+
+    /// Returns the text of the rules in force.
+    pub fn current(&self) -> Option<RulesText> {
+        self.text.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Tells whether the last read of the platform succeeded.
+    pub fn is_reachable(&self) -> bool {
+        self.is_reachable.load(Ordering::Relaxed)
+    }
+
+    fn note_reachable(&self, is_reachable: bool) {
+        if self.is_reachable.swap(is_reachable, Ordering::Relaxed) != is_reachable {
+            info!(self.logger, "platform reachability changed"; "reachable" => is_reachable);
+        }
+    }
+
+    /// Puts rules in force if they are valid and newer than those in force.
+    pub fn offer(&self, version: u64, text: &str) {
         let generation = Generation(version);
-        let text = String::from_utf8_lossy(&object.body);
-        let report = rules::check(&text, generation);
+        if generation <= self.config.current().generation {
+            if generation < self.config.current().generation {
+                self.counters.count(Counter::ConfigStale);
+            }
+            return;
+        }
+        let report = rules::check(text, generation);
         let first_error = report.errors().next().map(ToString::to_string);
         let Some(view) = report.view else {
             self.counters.count(Counter::ConfigInvalid);
@@ -94,6 +138,7 @@
         };
         match self.config.adopt(view) {
             Adoption::Adopted => {
+                self.keep(RulesText { generation: version, text: text.to_owned() });
                 self.counters.count(Counter::ConfigAdopted);
                 info!(self.logger, "configuration in force"; "generation" => version);
             }
@@ -107,7 +152,12 @@
         }
     }
 
-    async fn pause(&self) {
-        sleep(Duration::from_millis(self.options.retry_ms)).await;
+    /// Keeps the text of the rules in force for other nodes.
+    fn keep(&self, rules: RulesText) {
+        let mut text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_newer = text.as_ref().is_none_or(|kept| kept.generation < rules.generation);
+        if is_newer {
+            *text = Some(rules);
+        }
     }
 }
--- a/crates/fescuelock-platform/src/vms.rs
+++ b/crates/fescuelock-platform/src/vms.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescuelock_core::config::ConfigCell;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -44,6 +43,16 @@
     pub role: VmRole,
     /// Whether the VM stays.
     pub state: VmState,
+    /// For an entry VM its address for other nodes, if it has one.
+    #[serde(default)]
+    pub nodes_address: Option<String>,
+}
+
+impl Vm {
+    /// Tells whether the VM is an upstream's and will be stopped soon.
+    pub fn is_leaving_upstream(&self) -> bool {
+        self.role == VmRole::Upstream && self.state == VmState::Leaving
+    }
 }
 
 /// Reads the list.
@@ -56,19 +65,11 @@
     serde_json::from_slice(&body).map_err(|error| Error::Malformed(error.to_string()))
 }
 
-/// Keeps the set of leaving upstreams of a node up to date.
-///
-/// A list that cannot be read leaves the set as it was.
-pub async fn follow_vms(store: Arc<HttpStore>, config: Arc<ConfigCell>, interval_ms: u64) {
+/// Hands each list that could be read to a function.
+pub async fn follow_vms(store: Arc<HttpStore>, interval_ms: u64, take: impl Fn(Vec<Vm>)) {
     loop {
         if let Ok(vms) = read_vms(&store).await {
-            let mut leaving: Vec<String> = vms
-                .into_iter()
-                .filter(|vm| vm.role == VmRole::Upstream && vm.state == VmState::Leaving)
-                .map(|vm| vm.address)
-                .collect();
-            leaving.sort_unstable();
-            config.set_leaving(leaving);
+            take(vms);
         }
         sleep(Duration::from_millis(interval_ms)).await;
     }
--- a/crates/fescuelock-router/src/chat.rs
+++ b/crates/fescuelock-router/src/chat.rs
@@ -173,7 +173,7 @@
         match checked {
             Ok((body, usage)) => {
                 in_flight.peer().pool.checkin(connection);
-                let mut response = whole_response(path, plan, status, body, usage);
+                let mut response = whole_response(path, plan, status, body, usage).await;
                 if let Some(content_type) = content_type {
                     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
                 }
@@ -192,7 +192,7 @@
 }
 
 /// Bills a whole answer and forwards it.
-fn whole_response(
+async fn whole_response(
     path: &RequestPath,
     plan: &Plan,
     status: StatusCode,
@@ -204,7 +204,10 @@
     *response.status_mut() = status;
     answer::set_header(&mut response, headers::OUTCOME, "ran");
     // An engine's own error, such as a prompt that is too long, costs nothing.
-    let cost_micros = usage.map_or(0, |usage| bill(path, plan, usage));
+    let cost_micros = match usage {
+        Some(usage) => bill(path, plan, usage).await,
+        None => 0,
+    };
     answer::set_header(&mut response, headers::COST_MICROS, &cost_micros.to_string());
     response
 }
@@ -249,21 +252,24 @@
 }
 
 /// Records the bill of a request and returns its cost in micro-units.
-pub fn bill(path: &RequestPath, plan: &Plan, usage: Usage) -> u64 {
+///
+/// Another VM holds the bill before the answer ends, so that it outlives this one.
+pub async fn bill(path: &RequestPath, plan: &Plan, usage: Usage) -> u64 {
     let view = path.config.current();
     let price = view
         .versions
         .find(&plan.assignment.serving)
         .map_or_else(Default::default, |version| view.versions.at(version).price);
     let cost_micros = price.cost_micros(usage);
-    path.bills.record(Bill {
+    let bill = Bill {
         request: plan.id,
         team: plan.assignment.team.clone(),
         serving: plan.assignment.serving.clone(),
         usage,
         cost_micros,
         at_ms: path.clock.now_ms(),
-    });
+    };
+    path.bills.record_held(bill).await;
     cost_micros
 }
 
--- a/crates/fescuelock-router/src/node.rs
+++ b/crates/fescuelock-router/src/node.rs
@@ -14,18 +14,20 @@
 use fescuelock_core::tasks::Tasks;
 use fescuelock_http::net::{Listener, SharedNetwork};
 use fescuelock_http::server::{Server, ServerOptions};
+use fescuelock_nodes::mesh::{LocalNode, Mesh, MeshOptions};
 use fescuelock_operators::admin::{Admin, NodeStatus, StatusSource, resident_kib};
-use fescuelock_platform::bills::{Recorder, RecorderOptions, recorder};
+use fescuelock_platform::bills::{Bill, BillHolder, Recorder, RecorderOptions, recorder};
 use fescuelock_platform::claims::Claims;
-use fescuelock_platform::config::Follower;
+use fescuelock_platform::config::{Adopter, Follower};
 use fescuelock_platform::http_store::{HttpStore, HttpStoreOptions};
 use fescuelock_platform::objects::SharedStore;
-use fescuelock_platform::vms::follow_vms;
+use fescuelock_platform::vms::{Vm, follow_vms};
 use fescuelock_upstreams::dispatch::Dispatcher;
 use fescuelock_upstreams::registry::Registry;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -59,6 +61,7 @@
     shared: Arc<Shared>,
     callers_address: String,
     operators_address: String,
+    nodes_address: String,
     state: PhantomData<S>,
 }
 
@@ -75,6 +78,7 @@
     in_flight: Arc<AtomicU64>,
     draining: AtomicBool,
     logger: Logger,
+    mesh: Mesh,
 }
 
 /// `Drained` tells how a node's drain ended.
@@ -117,14 +121,33 @@
             flush_ms: settings.bills_flush_ms,
             ..RecorderOptions::default()
         };
+        let nodes = listen(&network, &settings.nodes_listen).await?;
+        let nodes_address = nodes.address();
+        let mesh_options = MeshOptions {
+            incarnation: clock.now_ms(),
+            seed: rng.next_u64(),
+            ..settings.mesh.clone()
+        };
+        let mesh = Mesh::new(
+            network.clone(),
+            &nodes_address,
+            mesh_options,
+            counters.clone(),
+            logger.clone(),
+            tasks.clone(),
+        );
+        // Without keys there are no links, and no other node can hold a bill.
+        let is_linked = !settings.mesh.keys.keys.is_empty();
+        let holder = is_linked.then(|| Arc::new(mesh.clone()) as Arc<dyn BillHolder>);
         let (bills, writer) =
-            recorder(Arc::clone(&shared_store), recorder_options, counters.clone());
+            recorder(Arc::clone(&shared_store), recorder_options, counters.clone(), holder);
         let claims = Claims::new(
             Arc::clone(&shared_store),
             clock,
             settings.claims.clone(),
             counters.clone(),
             tasks.clone(),
+            bills.clone(),
         );
         let shared = Arc::new(Shared {
             config: Arc::clone(&config),
@@ -138,6 +161,7 @@
             draining: AtomicBool::new(false),
             logger: logger.clone(),
             settings: settings.clone(),
+            mesh: mesh.clone(),
         });
         let registry = Arc::new(Registry::new(network, settings.upstreams.clone()));
         let path = Arc::new(RequestPath {
@@ -161,15 +185,20 @@
         });
 
         tasks.spawn(writer.run());
+        let adopter = Arc::new(Adopter::new(Arc::clone(&config), counters, logger.clone()));
         let follower = Follower {
             store: shared_store,
-            config: Arc::clone(&config),
-            counters,
-            logger: logger.clone(),
+            adopter: Arc::clone(&adopter),
             options: settings.follower.clone(),
         };
         tasks.spawn(follower.run());
-        tasks.spawn(follow_vms(store, config, settings.vms_interval_ms));
+        if is_linked {
+            mesh.run(nodes, Arc::new(Local { adopter, bills: shared.bills.clone() }));
+            tasks.spawn(announce(mesh.clone(), config.subscribe()));
+        }
+        tasks.spawn(follow_vms(store, settings.vms_interval_ms, move |vms| {
+            take_vms(&vms, &config, &mesh);
+        }));
         let callers_server = Server {
             options: ServerOptions {
                 header_timeout_ms: settings.header_timeout_ms,
@@ -187,7 +216,7 @@
         let admin = Admin { source: Arc::clone(&shared), key_hash: settings.operators_key_hash };
         tasks.spawn(operators_server.run(operators, Arc::new(admin)));
         info!(logger, "node started"; "callers" => &callers_address, "operators" => &operators_address);
-        Ok(Node { shared, callers_address, operators_address, state: PhantomData })
+        Ok(Node { shared, callers_address, operators_address, nodes_address, state: PhantomData })
     }
 
     /// Reports not ready and goes on to take requests until the balancer has noticed.
@@ -198,6 +227,7 @@
             shared: self.shared,
             callers_address: self.callers_address,
             operators_address: self.operators_address,
+            nodes_address: self.nodes_address,
             state: PhantomData,
         }
     }
@@ -216,6 +246,8 @@
                 sleep(Duration::from_millis(DRAIN_CHECK_MS)).await;
             }
             shared.claims.flush().await;
+            // What was held for others would be lost with this node.
+            shared.mesh.leave().into_iter().for_each(|bill| shared.bills.record(bill));
             shared.bills.flush().await;
         });
         let timed_out = drained.await.is_err();
@@ -250,6 +282,11 @@
         &self.operators_address
     }
 
+    /// Returns the address for other nodes.
+    pub fn nodes_address(&self) -> &str {
+        &self.nodes_address
+    }
+
     /// Returns the status of the node.
     pub fn status(&self) -> NodeStatus {
         self.shared.status()
@@ -284,11 +321,58 @@
             in_flight: self.in_flight.load(Ordering::Relaxed),
             bills_backlog: u64::try_from(self.bills.backlog()).unwrap_or(u64::MAX),
             rss_kib: resident_kib(),
+            nodes_alive: u64::try_from(self.mesh.alive()).unwrap_or(u64::MAX),
+            links: u64::try_from(self.mesh.links()).unwrap_or(u64::MAX),
+            link_bytes_sent: self.mesh.bytes_sent(),
             counters,
         }
     }
 }
 
+/// `Local` is what the links to other nodes need of this one.
+struct Local {
+    adopter: Arc<Adopter>,
+    bills: Recorder,
+}
+
+impl LocalNode for Local {
+    fn generation(&self) -> u64 {
+        self.adopter.current().map_or(0, |rules| rules.generation)
+    }
+
+    fn rules(&self) -> Option<(u64, String)> {
+        self.adopter.current().map(|rules| (rules.generation, rules.text))
+    }
+
+    fn offer_rules(&self, generation: u64, text: &str) {
+        // The first rules of a node come from the platform, unless it is away.
+        if self.generation() > 0 || !self.adopter.is_reachable() {
+            self.adopter.offer(generation, text);
+        }
+    }
+
+    fn record_held(&self, bill: Bill) {
+        self.bills.record(bill);
+    }
+}
+
+/// Tells the other nodes of each generation that comes into force.
+async fn announce(mesh: Mesh, mut generation: watch::Receiver<Generation>) {
+    while generation.changed().await.is_ok() {
+        let in_force = generation.borrow_and_update().0;
+        mesh.announce(in_force);
+    }
+}
+
+/// Takes over a list of VMs: which upstreams leave, and where other nodes may be found.
+fn take_vms(vms: &[Vm], config: &ConfigCell, mesh: &Mesh) {
+    let leaving = vms.iter().filter(|vm| vm.is_leaving_upstream());
+    let mut leaving: Vec<String> = leaving.map(|vm| vm.address.clone()).collect();
+    leaving.sort_unstable();
+    config.set_leaving(leaving);
+    mesh.set_seeds(vms.iter().filter_map(|vm| vm.nodes_address.clone()).collect());
+}
+
 /// Builds the counters, sent on to the configured address if there is one.
 fn counters(settings: &Settings) -> Result<Counters> {
     let Some(address) = settings.statsd_address else {
--- a/crates/fescuelock-router/src/relay.rs
+++ b/crates/fescuelock-router/src/relay.rs
@@ -59,7 +59,7 @@
             match self.forward(answered, &mut reader).await {
                 Ending::Whole(usage) => return self.finish(usage).await,
 
-                Ending::Abandoned(usage) => return self.abandon(usage),
+                Ending::Abandoned(usage) => return self.abandon(usage).await,
 
                 Ending::Cut(attempt, cause, done) => match self.resume(attempt, done).await {
                     Some(next) => {
@@ -136,16 +136,16 @@
     /// Bills the request and ends the stream with its usage, version and cost.
     async fn finish(self, usage: Usage) {
         self.path.counters.count(Counter::RequestsRan);
-        let cost_micros = bill(&self.path, &self.plan, usage);
+        let cost_micros = bill(&self.path, &self.plan, usage).await;
         let version = &self.plan.assignment.serving;
         let events = answer::last_events(self.plan.id, version, usage, cost_micros);
         self.sender.send(Bytes::from(events)).await;
     }
 
     /// Bills what was generated for a caller that has gone. Dropping the connection cancels it.
-    fn abandon(self, usage: Usage) {
+    async fn abandon(self, usage: Usage) {
         self.path.counters.count(Counter::StreamsAbandoned);
-        bill(&self.path, &self.plan, usage);
+        bill(&self.path, &self.plan, usage).await;
     }
 
     /// Ends the stream with an explicit error and a broken body, never a clean close.
--- a/crates/fescuelock-router/src/service.rs
+++ b/crates/fescuelock-router/src/service.rs
@@ -61,7 +61,7 @@
     let id = call.id;
     let answered = match (call.repeatable, call.claim_key) {
         (None, Some(key)) => claimed(&path, &call, key, attempt).await,
-        _ => send(&path, &call, attempt).await.map(|answer| forward(&path, &call, answer)),
+        _ => unclaimed(&path, &call, attempt).await,
     };
     let mut response = match answered {
         Ok(response) => response,
@@ -112,6 +112,19 @@
     })
 }
 
+/// Sends a call that may be repeated, or that is like no other.
+async fn unclaimed(
+    path: &RequestPath,
+    call: &ServiceCall,
+    attempt: Attempt<Unsent>,
+) -> Result<Response<Body>, Failure> {
+    let answer = send(path, call, attempt).await?;
+    if let Some(bill) = bill(path, call, &answer) {
+        path.bills.record_held(bill).await;
+    }
+    Ok(forward(path, answer))
+}
+
 /// Sends a keyed call that may not be repeated, once its claim is recorded.
 async fn claimed(
     path: &RequestPath,
@@ -148,8 +161,10 @@
     }
     match send(path, call, attempt).await {
         Ok(answer) => {
-            path.claims.finish(claim, stored(&answer)).await;
-            Ok(forward(path, call, answer))
+            // The record of the claim carries the bill, so that one write makes both last.
+            let result = stored(&answer, bill(path, call, &answer));
+            path.claims.finish(claim, result).await;
+            Ok(forward(path, answer))
         }
 
         // A call that was not run may be tried again under the same key.
@@ -228,19 +243,21 @@
     request.body(Body::whole(call.body.clone()))
 }
 
-/// Bills an answer and forwards it.
-fn forward(path: &RequestPath, call: &ServiceCall, answer: ServiceAnswer) -> Response<Body> {
+/// Returns the bill of an answered call. A call that the service refused is not billed.
+fn bill(path: &RequestPath, call: &ServiceCall, answer: &ServiceAnswer) -> Option<Bill> {
+    answer.status.is_success().then(|| Bill {
+        request: call.id,
+        team: call.assignment.team.clone(),
+        serving: call.assignment.serving.clone(),
+        usage: Usage::default(),
+        cost_micros: 0,
+        at_ms: path.clock.now_ms(),
+    })
+}
+
+/// Forwards an answer.
+fn forward(path: &RequestPath, answer: ServiceAnswer) -> Response<Body> {
     path.counters.count(Counter::RequestsRan);
-    if answer.status.is_success() {
-        path.bills.record(Bill {
-            request: call.id,
-            team: call.assignment.team.clone(),
-            serving: call.assignment.serving.clone(),
-            usage: Usage::default(),
-            cost_micros: 0,
-            at_ms: path.clock.now_ms(),
-        });
-    }
     let mut response = Response::new(Body::whole(answer.body));
     *response.status_mut() = answer.status;
     if let Some(content_type) = answer.content_type {
@@ -268,7 +285,7 @@
 }
 
 /// Returns what of an answer is kept for duplicates.
-fn stored(answer: &ServiceAnswer) -> StoredResult {
+fn stored(answer: &ServiceAnswer, bill: Option<Bill>) -> StoredResult {
     let text = String::from_utf8(answer.body.to_vec()).ok();
     StoredResult {
         status: answer.status.as_u16(),
@@ -278,5 +295,6 @@
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned),
         body: text.filter(|text| text.len() <= RESULT_MAX_BYTES),
+        bill,
     }
 }
--- a/crates/fescuelock-router/src/settings.rs
+++ b/crates/fescuelock-router/src/settings.rs
@@ -8,6 +8,8 @@
 use fescuelock_callers::intake::IntakeOptions;
 use fescuelock_core::ids::KeyHash;
 use fescuelock_core::session::{SessionKeys, SigningKey};
+use fescuelock_nodes::link::NodeKeys;
+use fescuelock_nodes::mesh::MeshOptions;
 use fescuelock_platform::claims::ClaimOptions;
 use fescuelock_platform::config::FollowerOptions;
 use fescuelock_upstreams::registry::RegistryOptions;
@@ -92,6 +94,10 @@
     pub bills_flush_ms: u64,
     /// Keys of session tokens, the signing key first.
     pub session_keys: SessionKeys,
+    /// Address for other nodes. Defaults to `127.0.0.1:7300`.
+    pub nodes_listen: String,
+    /// Links to other nodes. Without keys there are none.
+    pub mesh: MeshOptions,
     /// How the node stops.
     pub shutdown: ShutdownOptions,
     /// Form of log lines.
@@ -120,6 +126,8 @@
             claims: ClaimOptions::default(),
             bills_flush_ms: 500,
             session_keys,
+            nodes_listen: "127.0.0.1:7300".to_owned(),
+            mesh: MeshOptions::default(),
             shutdown: ShutdownOptions::default(),
             log_form: LogForm::default(),
             statsd_address: None,
@@ -176,20 +184,19 @@
     let node = reader.required::<Name>("node", "id", Name::EXPECTED);
     let zone = reader.required::<Name>("node", "zone", Name::EXPECTED);
     let keys = reader.required::<KeyList>("sessions", "keys", KeyList::EXPECTED);
-    // The defaults stand in for missing keys, so that all faults are found in one pass.
+    // Empty values stand in for missing ones, so that all faults are found in one pass.
     let known = node.is_some() && zone.is_some() && keys.is_some();
     let node = node.map_or_else(String::new, |name| name.0);
-    let placeholder =
-        || SessionKeys::try_new(vec![SigningKey { name: String::new(), secret: Vec::new() }]);
-    let keys = match keys {
-        Some(keys) => keys.0,
-        None => placeholder().ok()?,
-    };
-    let mut settings = Settings::new(node, zone.map_or_else(String::new, |name| name.0), keys);
+    let zone = zone.map_or_else(String::new, |name| name.0);
+    let placeholder = || vec![SigningKey { name: String::new(), secret: Vec::new() }];
+    let keys = SessionKeys::try_new(keys.map_or_else(placeholder, |keys| keys.0)).ok()?;
+    let mut settings = Settings::new(node, zone, keys);
     read_interfaces(reader, &mut settings);
     read_request_path(reader, &mut settings);
     read_operation(reader, &mut settings);
     settings.claims.node.clone_from(&settings.node);
+    settings.mesh.node.clone_from(&settings.node);
+    settings.mesh.zone.clone_from(&settings.zone);
     known.then_some(settings)
 }
 
@@ -231,6 +238,17 @@
 }
 
 fn read_operation(reader: &mut Reader<'_>, settings: &mut Settings) {
+    reader.address("nodes", "listen", &mut settings.nodes_listen);
+    if let Some(keys) = reader.optional::<KeyList>("nodes", "keys", KeyList::EXPECTED) {
+        settings.mesh.keys = NodeKeys { keys: keys.0 };
+    }
+    let mesh = &mut settings.mesh;
+    reader.number("nodes", "links", 1..=16, &mut mesh.links);
+    reader.number("nodes", "heartbeat_ms", 100..=60_000, &mut mesh.heartbeat_ms);
+    reader.number("nodes", "silence_ms", 300..=600_000, &mut mesh.silence_ms);
+    reader.number("nodes", "suspicion_ms", 300..=600_000, &mut mesh.suspicion_ms);
+    reader.number("nodes", "hold_timeout_ms", 1..=10_000, &mut mesh.hold_timeout_ms);
+    reader.number("nodes", "take_over_ms", 300..=600_000, &mut mesh.take_over_ms);
     let shutdown = &mut settings.shutdown;
     reader.number("shutdown", "balancer_delay_ms", 0..=600_000, &mut shutdown.balancer_delay_ms);
     reader.number("shutdown", "drain_ms", 0..=86_400_000, &mut shutdown.drain_ms);
@@ -258,7 +276,7 @@
 }
 
 /// `KeyList` is a list of named secrets.
-struct KeyList(SessionKeys);
+struct KeyList(Vec<SigningKey>);
 
 impl KeyList {
     const EXPECTED: &'static str = "NAME:HEX[,NAME:HEX...] with at least 16 bytes each";
@@ -278,7 +296,7 @@
             }
             keys.push(SigningKey { name, secret });
         }
-        SessionKeys::try_new(keys).map(KeyList).map_err(|_| ())
+        Ok(KeyList(keys))
     }
 }
 
--- a/crates/fescuelock-standin/src/main.rs
+++ b/crates/fescuelock-standin/src/main.rs
@@ -33,8 +33,8 @@
     /// Time between an engine's tokens, in milliseconds
     #[bpaf(long, argument("MS"), fallback(5), display_fallback)]
     token_gap_ms: u64,
-    /// Entry VM for the platform's list, by the address of its operators' interface
-    #[bpaf(long("vm"), argument("NAME=IP:PORT"))]
+    /// Entry VM for the platform's list, by its addresses for operators and for other nodes
+    #[bpaf(long("vm"), argument("NAME=IP:PORT[,IP:PORT]"))]
     vms: Vec<String>,
 }
 
@@ -83,13 +83,18 @@
     Ok(())
 }
 
-/// Reads an entry VM of the form `NAME=IP:PORT`.
+/// Reads an entry VM of the form `NAME=IP:PORT[,IP:PORT]`.
 fn vm(text: &str) -> Option<ListedVm> {
-    let (name, address) = text.split_once('=')?;
+    let (name, addresses) = text.split_once('=')?;
+    let (address, nodes_address) = match addresses.split_once(',') {
+        Some((address, nodes_address)) => (address, Some(nodes_address.to_owned())),
+        None => (addresses, None),
+    };
     Some(ListedVm {
         name: name.to_owned(),
         address: address.to_owned(),
         role: "entry".to_owned(),
         state: "live".to_owned(),
+        nodes_address,
     })
 }
--- a/crates/fescuelock-standin/src/platform.rs
+++ b/crates/fescuelock-standin/src/platform.rs
@@ -40,6 +40,9 @@
     pub role: String,
     /// `live` or `leaving`.
     pub state: String,
+    /// For an entry VM its address for other nodes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub nodes_address: Option<String>,
 }
 
 /// `CallCounts` counts the calls of the platform.
