nodes: Read unchanged lists and rules once, and close links no end wants

Cause: every node read the whole list of VMs each second, took each change from the platform and from a neighbour, and kept links to seeds for ever. Change: entity tags on the list, a second's patience before a neighbour is asked for rules while the platform answers, and pruning of links.

--- a/crates/fescuelock-load/src/experiments/control.rs
+++ b/crates/fescuelock-load/src/experiments/control.rs
@@ -20,7 +20,7 @@
 /// Changes of the rules per second in the phase with changes.
 const CHANGES_PER_S: u64 = 1;
 /// Time for links and tables to settle before the first phase, in milliseconds.
-const SETTLE_MS: u64 = 8_000;
+const SETTLE_MS: u64 = 14_000;
 /// Clock ticks a second in which the system counts processor time.
 const TICKS_PER_S: f64 = 100.0;
 
--- a/crates/fescuelock-load/src/experiments/mod.rs
+++ b/crates/fescuelock-load/src/experiments/mod.rs
@@ -5,6 +5,7 @@
 pub mod once;
 pub mod path;
 pub mod replace;
+pub mod slopes;
 pub mod traffic;
 
 use serde_json::Value;
@@ -63,4 +64,9 @@
         about: "what control costs a node, idle and with changes, at --nodes and --upstreams",
         run: control::run,
     },
+    Experiment {
+        name: "slopes",
+        about: "control at four numbers of nodes and four of upstreams, with linear fits",
+        run: slopes::run,
+    },
 ];
--- a/crates/fescuelock-nodes/src/mesh.rs
+++ b/crates/fescuelock-nodes/src/mesh.rs
@@ -22,6 +22,11 @@
 use crate::messages::{Heartbeat, HeldBill, HeldId, Message};
 use crate::{Error, Result};
 
+/// Time for which rules are awaited from the platform before another node is asked, in
+/// milliseconds.
+const RULES_DELAY_MS: u64 = 1_000;
+/// Age at which a link that neither end wants is closed, in milliseconds.
+const UNWANTED_MAX_MS: u64 = 10_000;
 /// Messages that wait for one link at most. A link that is slower is closed.
 const QUEUE_MAX: usize = 256;
 
@@ -80,6 +85,9 @@
     /// Returns the text of the rules in force with its generation.
     fn rules(&self) -> Option<(u64, String)>;
 
+    /// Tells whether the platform answers.
+    fn is_platform_reachable(&self) -> bool;
+
     /// Takes the rules of a higher generation from another node.
     fn offer_rules(&self, generation: u64, text: &str);
 
@@ -111,6 +119,7 @@
     held: HeldBills,
     waiting: HashMap<u64, oneshot::Sender<()>>,
     generations: BTreeMap<String, u64>,
+    behind_since: Option<Instant>,
     seeds: Vec<String>,
     next_number: u64,
     rng: ChaCha8Rng,
@@ -120,6 +129,7 @@
 #[derive(Clone)]
 struct Handle {
     number: u64,
+    opened: Instant,
     queue: mpsc::Sender<Message>,
 }
 
@@ -148,6 +158,7 @@
             held: HeldBills::default(),
             waiting: HashMap::new(),
             generations: BTreeMap::new(),
+            behind_since: None,
             seeds: Vec::new(),
             next_number: 0,
             rng: ChaCha8Rng::seed_from_u64(options.seed),
@@ -251,6 +262,25 @@
         }
     }
 
+    /// Closes links that neither end would open by itself, such as those to seeds.
+    fn prune(&mut self, own: &str, links: usize, now: Instant) {
+        let mut names: Vec<&str> = self.members.others().map(|other| other.node.as_str()).collect();
+        names.push(own);
+        let age_max = Duration::from_millis(UNWANTED_MAX_MS);
+        let unwanted: Vec<String> = self
+            .links
+            .iter()
+            .filter(|(_, handle)| now.duration_since(handle.opened) > age_max)
+            .map(|(peer, _)| peer)
+            .filter(|peer| !is_chosen(&names, own, peer, links))
+            .filter(|peer| !is_chosen(&names, peer, own, links))
+            .cloned()
+            .collect();
+        for peer in unwanted {
+            self.links.remove(&peer);
+        }
+    }
+
     /// Returns the addresses of the nodes that this one should have links to and has not.
     fn wanted(&mut self, own: &str, links: usize, now: Instant) -> Vec<String> {
         let mut ranked: Vec<(u64, &Member)> =
@@ -324,6 +354,7 @@
             let wanted = {
                 let mut state = self.state();
                 self.bury(&mut state, now);
+                state.prune(&self.options.node, self.options.links, now);
                 let wanted = state.wanted(&self.options.node, self.options.links, now);
                 let until = now + Duration::from_millis(self.options.silence_ms);
                 for address in &wanted {
@@ -434,7 +465,8 @@
         let table = state.members.iter().cloned().collect();
         // The queue is empty, so there is room.
         let _ = queue.try_send(Message::Members(table));
-        state.links.insert(peer.to_owned(), Handle { number, queue });
+        let opened = Instant::now();
+        state.links.insert(peer.to_owned(), Handle { number, opened, queue });
         Some(number)
     }
 
@@ -558,12 +590,19 @@
             self.send(link, Message::Members(table)).await?;
         }
         let own = node.generation();
-        // A node without rules waits until several others have told theirs, and takes the highest.
+        if heartbeat.generation <= own {
+            self.state().behind_since = None;
+            return Ok(());
+        }
+        let behind = self.state().behind_since.get_or_insert_with(Instant::now).elapsed();
+        // The platform is the first source: it sends each change to every node already.
+        let is_late = behind >= Duration::from_millis(RULES_DELAY_MS);
+        // A node without rules waits until several others have told theirs.
         let is_trusted = own > 0 || agreed >= 2;
-        if heartbeat.generation > own && is_trusted {
-            self.send(link, Message::RulesRequest(own)).await?;
+        match is_trusted && (is_late || !node.is_platform_reachable()) {
+            true => self.send(link, Message::RulesRequest(own)).await,
+            false => Ok(()),
         }
-        Ok(())
     }
 
     /// Has another node hold a bill. Returns whether one does.
@@ -605,6 +644,16 @@
     }
 }
 
+/// Tells whether a node opens a link to another by itself: whether the other is among its first.
+fn is_chosen(names: &[&str], from: &str, to: &str, links: usize) -> bool {
+    let own_rank = rank(from, to);
+    let ahead = names
+        .iter()
+        .filter(|name| **name != from && **name != to)
+        .filter(|name| rank(from, name) < own_rank);
+    ahead.count() < links
+}
+
 /// Ranks a node among those that another may link to, the same in every process.
 fn rank(own: &str, other: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/fescuelock-platform/src/http_store.rs
+++ b/crates/fescuelock-platform/src/http_store.rs
@@ -24,6 +24,15 @@
     }
 }
 
+/// `Document` is a value that is not an object.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Document {
+    /// The value.
+    pub body: Bytes,
+    /// Its entity tag, if the platform gave one.
+    pub tag: Option<String>,
+}
+
 /// `HttpStore` speaks to the platform over HTTP.
 pub struct HttpStore {
     client: Client,
@@ -46,10 +55,34 @@
     ///
     /// Returns [`Error::Refused`] for an answer other than success.
     pub async fn read_path(&self, path: String) -> Result<Bytes> {
-        let answer = self.call(&self.client, Call { path, ..Call::default() }).await?;
-        match answer.status.is_success() {
-            true => Ok(answer.body),
-            false => Err(refused(&answer)),
+        match self.read_path_after(path, None).await? {
+            Some(document) => Ok(document.body),
+            None => Err(Error::Malformed("no change, and none was asked for".to_owned())),
+        }
+    }
+
+    /// Reads a path unless it still has the given entity tag; then returns `None`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Refused`] for an answer other than success.
+    pub async fn read_path_after(
+        &self,
+        path: String,
+        tag: Option<&str>,
+    ) -> Result<Option<Document>> {
+        let headers = tag.iter().map(|tag| (header::IF_NONE_MATCH, (*tag).to_owned())).collect();
+        let answer = self.call(&self.client, Call { path, headers, ..Call::default() }).await?;
+        match answer.status {
+            StatusCode::NOT_MODIFIED => Ok(None),
+
+            status if status.is_success() => {
+                let tag = answer.headers.get(header::ETAG).and_then(|tag| tag.to_str().ok());
+                let tag = tag.map(str::to_owned);
+                Ok(Some(Document { body: answer.body, tag }))
+            }
+
+            _ => Err(refused(&answer)),
         }
     }
 
--- a/crates/fescuelock-platform/src/vms.rs
+++ b/crates/fescuelock-platform/src/vms.rs
@@ -61,14 +61,23 @@
 ///
 /// Returns the error of the call, or [`Error::Malformed`] for a list of another form.
 pub async fn read_vms(store: &HttpStore) -> Result<Vec<Vm>> {
-    let body = store.read_path(VMS_PATH.to_owned()).await?;
-    serde_json::from_slice(&body).map_err(|error| Error::Malformed(error.to_string()))
+    decode(&store.read_path(VMS_PATH.to_owned()).await?)
 }
 
-/// Hands each list that could be read to a function.
+fn decode(body: &[u8]) -> Result<Vec<Vm>> {
+    serde_json::from_slice(body).map_err(|error| Error::Malformed(error.to_string()))
+}
+
+/// Hands each list that has changed to a function.
 pub async fn follow_vms(store: Arc<HttpStore>, interval_ms: u64, take: impl Fn(Vec<Vm>)) {
+    let mut tag = None;
     loop {
-        if let Ok(vms) = read_vms(&store).await {
+        // The list grows with the fleet: an unchanged one is not sent again.
+        let read = store.read_path_after(VMS_PATH.to_owned(), tag.as_deref()).await;
+        if let Ok(Some(document)) = read
+            && let Ok(vms) = decode(&document.body)
+        {
+            tag = document.tag;
             take(vms);
         }
         sleep(Duration::from_millis(interval_ms)).await;
--- a/crates/fescuelock-router/src/node.rs
+++ b/crates/fescuelock-router/src/node.rs
@@ -344,6 +344,10 @@
         self.adopter.current().map(|rules| (rules.generation, rules.text))
     }
 
+    fn is_platform_reachable(&self) -> bool {
+        self.adopter.is_reachable()
+    }
+
     fn offer_rules(&self, generation: u64, text: &str) {
         // The first rules of a node come from the platform, unless it is away.
         if self.generation() > 0 || !self.adopter.is_reachable() {
--- a/crates/fescuelock-standin/src/platform.rs
+++ b/crates/fescuelock-standin/src/platform.rs
@@ -2,6 +2,7 @@
 //! of VMs.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -31,7 +32,7 @@
 const OBJECTS_PREFIX: &str = "/v1/objects/";
 
 /// `ListedVm` is one entry of the list of VMs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ListedVm {
     /// Name of the VM.
     pub name: String,
@@ -170,7 +171,7 @@
                 self.list(query(request.uri(), "prefix").unwrap_or(""))
             }
 
-            (&Method::GET, None) if path == "/v1/vms" => json(StatusCode::OK, &self.listed_vms()),
+            (&Method::GET, None) if path == "/v1/vms" => self.vms(request.headers()),
 
             _ => status(StatusCode::NOT_FOUND),
         };
@@ -263,6 +264,20 @@
         json(StatusCode::OK, &keys)
     }
 
+    /// Answers with the list of VMs, unless the reader has it already.
+    fn vms(&self, headers: &HeaderMap) -> Response<Body> {
+        let vms = self.listed_vms();
+        let mut hasher = DefaultHasher::new();
+        vms.hash(&mut hasher);
+        let tag = entity_tag(hasher.finish());
+        if headers.get(header::IF_NONE_MATCH) == Some(&tag) {
+            return status(StatusCode::NOT_MODIFIED);
+        }
+        let mut response = json(StatusCode::OK, &vms);
+        response.headers_mut().insert(header::ETAG, tag);
+        response
+    }
+
     /// Returns the list as it was before the lag.
     fn listed_vms(&self) -> Vec<ListedVm> {
         let state = self.state();
