--- /dev/null
+++ b/crates/fescuelock-load/tests/documents.rs
@@ -0,0 +1,80 @@
+//! The documents say what the programs take.
+
+use std::collections::BTreeSet;
+
+use fescuelock_core::counters::Counter;
+use fescuelock_core::ids::Generation;
+use fescuelock_core::rules::{FORMS, check};
+use fescuelock_router::settings;
+
+const OPERATING: &str = include_str!("../../../docs/OPERATING.md");
+
+/// Returns the first cells of a document's tables below a heading, without back quotes.
+fn first_cells(heading: &str) -> BTreeSet<String> {
+    let section = OPERATING.split("\n## ").find(|section| section.starts_with(heading));
+    section
+        .expect("the section exists")
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter_map(|line| line.split_once("` |"))
+        .map(|(cell, _)| cell.replace("\\|", "|"))
+        .collect()
+}
+
+#[test]
+fn settings_documented() {
+    let keys: BTreeSet<String> = settings::keys().into_iter().collect();
+    assert_eq!(first_cells("Settings"), keys);
+}
+
+#[test]
+fn rules_documented() {
+    let forms: BTreeSet<String> = FORMS.iter().map(|form| form.usage.to_owned()).collect();
+    assert_eq!(first_cells("Rules"), forms);
+}
+
+#[test]
+fn counters_documented() {
+    let counters: BTreeSet<String> =
+        Counter::ALL.iter().map(|counter| counter.name().to_owned()).collect();
+    assert_eq!(first_cells("What a node serves"), counters);
+}
+
+#[test]
+fn examples_valid() {
+    for rules in [
+        include_str!("../../../examples/pinehollow.rules"),
+        include_str!("../../../examples/blue-mahoe.rules"),
+    ] {
+        assert_eq!(check(rules, Generation(1)).problems, []);
+    }
+    for text in [
+        include_str!("../../../examples/settings/node-1.ini"),
+        include_str!("../../../examples/settings/node-2.ini"),
+        include_str!("../../../examples/settings/node-3.ini"),
+    ] {
+        assert!(settings::parse("node.ini", text).is_ok());
+    }
+}
+
+#[test]
+fn faults_listed() {
+    let text =
+        "[node]\nid = a b\ncolour = red\n[callers]\nlisten = host\nheaders_max = 1\n[x]\ny = 1\n";
+    let Err(fescuelock_router::Error::Settings(faults)) = settings::parse("f.ini", text) else {
+        panic!("the settings have faults");
+    };
+    let found: BTreeSet<(&str, &str)> =
+        faults.iter().map(|fault| (fault.section.as_str(), fault.key.as_str())).collect();
+    let expected = BTreeSet::from([
+        ("node", "id"),
+        ("node", "zone"),
+        ("node", "colour"),
+        ("callers", "listen"),
+        ("callers", "headers_max"),
+        ("sessions", "keys"),
+        ("x", "y"),
+    ]);
+    assert_eq!(found, expected);
+    assert!(faults.iter().all(|fault| fault.file == "f.ini" && !fault.message.is_empty()));
+}
--- a/crates/fescuelock-router/src/settings.rs
+++ b/crates/fescuelock-router/src/settings.rs
@@ -179,6 +179,14 @@
     }
 }
 
+/// Lists all keys that a settings file may have, as `section.key`.
+pub fn keys() -> Vec<String> {
+    let ini = Ini::new();
+    let mut reader = Reader { file: "", ini: &ini, taken: BTreeSet::new(), faults: Vec::new() };
+    read(&mut reader);
+    reader.taken.iter().map(|(section, key)| format!("{section}.{key}")).collect()
+}
+
 /// Reads all keys. Returns `None` if a key without a default is missing.
 fn read(reader: &mut Reader<'_>) -> Option<Settings> {
     let node = reader.required::<Name>("node", "id", Name::EXPECTED);
