load: Test links, and measure a long outage of the platform

Cause: links had no tests of their own, and the end of an outage was not measured. Change: tests of membership, held bills, keys and relayed rules; seeds in the settings for a start while the platform is away; the experiment outage.

--- a/crates/fescuelock-load/src/experiments/mod.rs
+++ b/crates/fescuelock-load/src/experiments/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod control;
 pub mod once;
+pub mod outage;
 pub mod path;
 pub mod replace;
 pub mod slopes;
@@ -59,6 +60,11 @@
         about: "racing edits, silent watches, stale reads and an outage",
         run: config::run,
     },
+    Experiment {
+        name: "outage",
+        about: "a long outage of the platform under load, and its end",
+        run: outage::run,
+    },
     Experiment {
         name: "control",
         about: "what control costs a node, idle and with changes, at --nodes and --upstreams",
--- /dev/null
+++ b/crates/fescuelock-load/tests/links.rs
@@ -0,0 +1,227 @@
+//! Links between nodes: membership, held bills, relayed rules and keys.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use common::Bed;
+use fescuelock_core::session::SigningKey;
+use fescuelock_http::net::Network;
+use fescuelock_load::caller::Chat;
+use fescuelock_load::samples::CHEAP_TEAM;
+use fescuelock_nodes::Error;
+use fescuelock_nodes::link::{Introduction, Link, NodeKeys};
+use fescuelock_nodes::members::{Member, MemberState, Members};
+use fescuelock_platform::bills::read_ledger;
+use fescuelock_router::node::Node;
+use fescuelock_standin::faults::PlatformFaults;
+use proptest::prelude::*;
+use tokio::time::{Instant, sleep};
+
+/// Time for links to open and tables to spread.
+const SETTLE: Duration = Duration::from_secs(10);
+
+fn chat(index: usize) -> Chat {
+    Chat { prompt: format!("bill {index}"), ..Chat::default() }
+}
+
+fn alive(bed: &Bed, node: usize) -> u64 {
+    bed.cluster.node(node).expect("the node runs").status().nodes_alive
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_known() {
+    let bed = Bed::start(12, "").await;
+    sleep(SETTLE).await;
+    for node in 0..12 {
+        assert_eq!(alive(&bed, node), 12);
+        let links = bed.cluster.node(node).expect("runs").status().links;
+        assert!((1..=12).contains(&links), "{links} links");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn links_bounded() {
+    let bed = Bed::start(40, "").await;
+    sleep(4 * SETTLE).await;
+    let links: Vec<u64> =
+        (0..40).map(|node| bed.cluster.node(node).expect("runs").status().links).collect();
+    let total: u64 = links.iter().sum();
+    assert!(total <= 40 * 9, "{links:?}");
+    assert!(links.iter().all(|&links| links >= 3), "{links:?}");
+    assert!((0..40).all(|node| alive(&bed, node) == 40));
+}
+
+#[tokio::test(start_paused = true)]
+async fn death_noticed() {
+    let mut bed = Bed::start(5, "").await;
+    sleep(SETTLE).await;
+    bed.cluster.kill_node(2);
+    sleep(2 * SETTLE).await;
+    for node in [0, 1, 3, 4] {
+        assert_eq!(alive(&bed, node), 4);
+    }
+    bed.cluster.start_node(2).await.expect("the node starts");
+    sleep(SETTLE).await;
+    for node in 0..5 {
+        assert_eq!(alive(&bed, node), 5);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_refuted() {
+    let bed = Bed::start(5, "").await;
+    sleep(SETTLE).await;
+    for node in 0..5 {
+        let address = bed.cluster.node(node).expect("runs").nodes_address().to_owned();
+        bed.network.silence(&address);
+    }
+    sleep(2 * SETTLE).await;
+    for node in 0..5 {
+        assert_eq!(alive(&bed, node), 5);
+        assert!(bed.cluster.node(node).expect("runs").status().links > 0);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn bills_taken_over() {
+    let mut bed = Bed::start(3, "").await;
+    sleep(SETTLE).await;
+    let mut billed = BTreeSet::new();
+    for index in 0..20 {
+        let reply = bed.caller(0, CHEAP_TEAM).chat(&chat(index)).await;
+        assert!(reply.is_ok());
+        billed.insert(reply.request_id);
+    }
+    bed.cluster.kill_node(0);
+    sleep(SETTLE).await;
+    let ledger = read_ledger(bed.cluster.store.as_ref()).await.expect("bills are read");
+    let recorded: BTreeSet<String> = ledger.bills.keys().map(ToString::to_string).collect();
+    assert_eq!(recorded, billed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn holder_dies() {
+    let mut bed = Bed::start(3, "").await;
+    sleep(SETTLE).await;
+    for index in 0..20 {
+        assert!(bed.caller(0, CHEAP_TEAM).chat(&chat(index)).await.is_ok());
+    }
+    bed.cluster.kill_node(1);
+    bed.cluster.kill_node(2);
+    for index in 20..40 {
+        assert!(bed.caller(0, CHEAP_TEAM).chat(&chat(index)).await.is_ok());
+    }
+    sleep(SETTLE).await;
+    let ledger = read_ledger(bed.cluster.store.as_ref()).await.expect("bills are read");
+    assert_eq!(ledger.bills.len(), 40);
+}
+
+#[tokio::test(start_paused = true)]
+async fn rules_relayed() {
+    let mut bed = Bed::start(3, "").await;
+    sleep(SETTLE).await;
+    bed.platform_faults(PlatformFaults { outage: true, ..PlatformFaults::default() });
+    sleep(SETTLE).await;
+    // The platform is away: a new VM takes the rules that several others hold, and no fewer.
+    let others: Vec<String> = [1, 2]
+        .map(|node| bed.cluster.node(node).expect("runs").nodes_address().to_owned())
+        .to_vec();
+    let generation = bed.cluster.node(1).expect("runs").status().generation;
+    bed.cluster.kill_node(0);
+    let mut settings = bed.cluster.settings(0);
+    settings.mesh.seeds = others;
+    let environment = bed.cluster.environment();
+    let node = Node::start(settings, environment).await.expect("the node starts");
+    tokio::time::timeout(SETTLE, node.ready()).await.expect("the node gets ready");
+    assert_eq!(node.status().generation, generation);
+}
+
+#[tokio::test(start_paused = true)]
+async fn neighbour_asked() {
+    let bed = Bed::start(3, "").await;
+    sleep(SETTLE).await;
+    // Reads are stale and watches silent: the change reaches no node but through a neighbour.
+    bed.platform_faults(PlatformFaults {
+        silent_watches: true,
+        stale_reads: true,
+        ..PlatformFaults::default()
+    });
+    sleep(SETTLE).await;
+    let before = bed.cluster.node(0).expect("runs").status().generation;
+    bed.platform_faults(PlatformFaults::default());
+    let started = Instant::now();
+    bed.edit(|text| format!("{text}# edit\n")).await;
+    assert!(started.elapsed() < Duration::from_secs(7));
+    assert!(bed.cluster.node(0).expect("runs").status().generation > before);
+}
+
+fn introduction(node: &str, key: &str) -> Introduction {
+    Introduction { node: node.to_owned(), nonce: 7, key: key.to_owned() }
+}
+
+fn keys(name: &str, secret: &[u8]) -> NodeKeys {
+    NodeKeys { keys: vec![SigningKey { name: name.to_owned(), secret: secret.to_vec() }] }
+}
+
+#[tokio::test(start_paused = true)]
+async fn wrong_key() {
+    let bed = Bed::start(1, "").await;
+    let node = bed.cluster.node(0).expect("the node runs");
+    for (name, secret) in [("sample", b"wrong secret wrong"), ("other", b"fedcba9876543210xx")] {
+        let io = bed.network.connect(node.nodes_address()).await.expect("connects");
+        let dialled = Link::dial(io, &keys(name, secret), introduction("intruder", name)).await;
+        assert!(
+            matches!(dialled, Err(Error::NotAuthentic | Error::Closed | Error::Broken(_))),
+            "an intruder opened a link"
+        );
+    }
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(alive(&bed, 0), 1);
+    assert_eq!(node.status().counters["links.refused"], 2);
+}
+
+fn member(node: u8, incarnation: u64, state: MemberState) -> Member {
+    Member {
+        node: format!("node-{node}"),
+        address: format!("127.0.0.1:{node}"),
+        zone: "zone".to_owned(),
+        incarnation,
+        state,
+    }
+}
+
+fn any_member() -> impl Strategy<Value = Member> {
+    let state = prop_oneof![
+        Just(MemberState::Alive),
+        Just(MemberState::Suspect),
+        Just(MemberState::Dead),
+        Just(MemberState::Left),
+    ];
+    (1u8..6, 0u64..4, state).prop_map(|(node, incarnation, state)| member(node, incarnation, state))
+}
+
+proptest! {
+    #[test]
+    fn any_order(entries in proptest::collection::vec(any_member(), 0..40)) {
+        let own = member(0, 1, MemberState::Alive);
+        let mut forward = Members::new(own.clone());
+        forward.merge(entries.clone());
+        let mut backward = Members::new(own);
+        for entry in entries.into_iter().rev() {
+            backward.merge(vec![entry.clone()]);
+            backward.merge(vec![entry]);
+        }
+        prop_assert_eq!(forward.digest(), backward.digest());
+    }
+
+    #[test]
+    fn own_state_refuted(incarnation in 0u64..10, suspicion in 0u64..10) {
+        let mut members = Members::new(member(0, incarnation, MemberState::Alive));
+        members.merge(vec![member(0, suspicion, MemberState::Suspect)]);
+        let own = members.get("node-0").expect("the table holds the node itself");
+        prop_assert_eq!(own.state, MemberState::Alive);
+        prop_assert!(own.incarnation > suspicion || suspicion < incarnation);
+    }
+}
--- a/crates/fescuelock-nodes/src/mesh.rs
+++ b/crates/fescuelock-nodes/src/mesh.rs
@@ -41,6 +41,8 @@
     pub incarnation: u64,
     /// Keys that nodes prove to each other.
     pub keys: NodeKeys,
+    /// Addresses at which other nodes are looked for, besides those that the platform lists.
+    pub seeds: Vec<String>,
     /// Links that this node keeps open by itself. Others open as many to it, on average. Defaults
     /// to 4.
     pub links: usize,
@@ -66,6 +68,7 @@
             zone: String::new(),
             incarnation: 0,
             keys: NodeKeys::default(),
+            seeds: Vec::new(),
             links: 4,
             heartbeat_ms: 1_000,
             silence_ms: 3_000,
@@ -159,7 +162,7 @@
             waiting: HashMap::new(),
             generations: BTreeMap::new(),
             behind_since: None,
-            seeds: Vec::new(),
+            seeds: options.seeds.clone(),
             next_number: 0,
             rng: ChaCha8Rng::seed_from_u64(options.seed),
         };
@@ -182,8 +185,9 @@
         tasks.spawn(Arc::clone(&self.inner).keep_links(node));
     }
 
-    /// Replaces the addresses at which nodes are looked for when too few are known.
-    pub fn set_seeds(&self, seeds: Vec<String>) {
+    /// Replaces the listed addresses at which other nodes are looked for.
+    pub fn set_seeds(&self, mut seeds: Vec<String>) {
+        seeds.extend(self.inner.options.seeds.iter().cloned());
         self.inner.state().seeds = seeds;
     }
 
--- a/crates/fescuelock-router/src/settings.rs
+++ b/crates/fescuelock-router/src/settings.rs
@@ -250,6 +250,9 @@
     if let Some(keys) = reader.optional::<KeyList>("nodes", "keys", KeyList::EXPECTED) {
         settings.mesh.keys = NodeKeys { keys: keys.0 };
     }
+    if let Some(seeds) = reader.optional::<AddressList>("nodes", "seeds", AddressList::EXPECTED) {
+        settings.mesh.seeds = seeds.0;
+    }
     let mesh = &mut settings.mesh;
     reader.number("nodes", "links", 1..=16, &mut mesh.links);
     reader.number("nodes", "heartbeat_ms", 100..=60_000, &mut mesh.heartbeat_ms);
@@ -312,6 +315,23 @@
     hex::decode(digits).ok()
 }
 
+/// `AddressList` is a list of addresses.
+struct AddressList(Vec<String>);
+
+impl AddressList {
+    const EXPECTED: &'static str = "IP:PORT[,IP:PORT...]";
+}
+
+impl FromStr for AddressList {
+    type Err = ();
+
+    fn from_str(text: &str) -> std::result::Result<Self, ()> {
+        let parse = |item: &str| item.trim().parse::<SocketAddr>().map(|found| found.to_string());
+        let items = text.split(',').map(|item| parse(item).map_err(|_| ()));
+        items.collect::<std::result::Result<_, _>>().map(AddressList)
+    }
+}
+
 /// `Reader` takes keys from an INI file and collects the faults.
 struct Reader<'a> {
     file: &'a str,
--- a/crates/fescuelock-standin/src/platform.rs
+++ b/crates/fescuelock-standin/src/platform.rs
@@ -125,6 +125,11 @@
         self.state().counts
     }
 
+    /// Returns the largest number of calls within one second since the last time this was asked.
+    pub fn take_rate_max(&self) -> u64 {
+        std::mem::take(&mut self.state().counts.per_s_max)
+    }
+
     /// Returns the value of an object.
     pub fn value(&self, key: &str) -> Option<Bytes> {
         self.state().objects.get(key).map(|stored| stored.body.clone())
