platform: Let one task ask while the platform is away

A watch was also the first call after an outage, and a watch waits, so bookings were refused for 4 s more. Keyed calls were dropped with their caller's connection. Ruled out: bills, which write one batch at a time. Change: the node shares whether the platform answers; waiting tasks start at spread times; pauses double; a claim is released only if it may have been written; the first call after a failure is a plain read; a keyed call runs in a task of its own. Conclusion: no stampede; refusals in an outage are immediate and true.

--- a/crates/fescuelock-load/tests/links.rs
+++ b/crates/fescuelock-load/tests/links.rs
@@ -7,13 +7,15 @@
 
 use common::Bed;
 use fescuelock_core::session::SigningKey;
+use fescuelock_core::units::Usage;
 use fescuelock_http::net::Network;
 use fescuelock_load::caller::Chat;
 use fescuelock_load::samples::CHEAP_TEAM;
 use fescuelock_nodes::Error;
 use fescuelock_nodes::link::{Introduction, Link, NodeKeys};
 use fescuelock_nodes::members::{Member, MemberState, Members};
-use fescuelock_platform::bills::read_ledger;
+use fescuelock_nodes::messages::{HeldBill, Message, encode};
+use fescuelock_platform::bills::{Bill, read_ledger};
 use fescuelock_router::node::Node;
 use fescuelock_standin::faults::PlatformFaults;
 use proptest::prelude::*;
@@ -225,3 +227,22 @@
         prop_assert!(own.incarnation > suspicion || suspicion < incarnation);
     }
 }
+
+#[test]
+fn bill_messages_small() {
+    let bill = Bill {
+        request: "0123456789abcdef0123456789abcdef".parse().expect("a request id"),
+        team: "estimators-piedmont".to_owned(),
+        serving: "draft/medium-5".to_owned(),
+        usage: Usage { input_tokens: 1_500, output_tokens: 700 },
+        cost_micros: 1_290,
+        at_ms: 1_796_000_000_000,
+    };
+    let size = |message: &Message| encode(message).expect("it is encoded").len();
+    let hold = size(&Message::Hold(100_000, vec![HeldBill::from(&bill)]));
+    let held = size(&Message::Held(100_000));
+    let release = size(&Message::Release(vec![bill.request.into()]));
+    println!("hold {hold}, held {held}, release {release} bytes");
+    // 3 KB/s a node at 14 requests a second, over 8 links that each get the release.
+    assert!(14 * (hold + held + 8 * release) <= 3_000 + 14 * 7 * release);
+}
--- a/crates/fescuelock-platform/src/bills.rs
+++ b/crates/fescuelock-platform/src/bills.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use crate::availability::Availability;
 use crate::claim_record::Shard;
 use crate::claims::CLAIMS_PREFIX;
 use crate::objects::{Condition, ObjectStore, SharedStore};
@@ -106,6 +107,7 @@
     entries: mpsc::UnboundedReceiver<Entry>,
     backlog: Arc<AtomicUsize>,
     holder: Option<Arc<dyn BillHolder>>,
+    availability: Availability,
     next_batch: u64,
 }
 
@@ -115,6 +117,7 @@
     options: RecorderOptions,
     counters: Counters,
     holder: Option<Arc<dyn BillHolder>>,
+    availability: Availability,
 ) -> (Recorder, Writer) {
     let (sender, entries) = mpsc::unbounded_channel();
     let backlog = Arc::new(AtomicUsize::new(0));
@@ -125,7 +128,9 @@
         holder: holder.clone(),
         counters: counters.clone(),
     };
-    (recorder, Writer { store, options, counters, entries, backlog, holder, next_batch: 0 })
+    let writer =
+        Writer { store, options, counters, entries, backlog, holder, availability, next_batch: 0 };
+    (recorder, writer)
 }
 
 impl Recorder {
@@ -199,6 +204,7 @@
         self.next_batch += 1;
         let body = Bytes::from(encode(batch));
         loop {
+            self.availability.wait_up(&options.node).await;
             match self.store.put(&key, body.clone(), Condition::Absent).await {
                 // Only this writer uses the key: a conflict shows that an earlier try took effect.
                 Ok(_) | Err(Error::Conflict) => break,
--- a/crates/fescuelock-platform/src/claims.rs
+++ b/crates/fescuelock-platform/src/claims.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
+use crate::availability::Availability;
 use crate::bills::Recorder;
 use crate::claim_record::{ClaimRecord, Operation, Shard, StoredResult, Verdict};
 use crate::objects::{Condition, Object, SharedStore};
@@ -37,8 +38,11 @@
     pub claim_timeout_ms: u64,
     /// Time for which claims are kept, in milliseconds. Defaults to one hour.
     pub retention_ms: u64,
-    /// Pause between tries to write, in milliseconds. Defaults to 20.
+    /// Pause before a write is tried again, in milliseconds. It doubles with each further try.
+    /// Defaults to 20.
     pub retry_ms: u64,
+    /// Longest pause between tries, in milliseconds. Defaults to 1,000.
+    pub retry_max_ms: u64,
     /// Time for which an answer is held back until its result is recorded, in milliseconds. Defaults
     /// to 500.
     pub finish_wait_ms: u64,
@@ -55,6 +59,7 @@
             claim_timeout_ms: 2_000,
             retention_ms: 3_600_000,
             retry_ms: 20,
+            retry_max_ms: 1_000,
             finish_wait_ms: 500,
             queue_max: 1_024,
         }
@@ -104,6 +109,7 @@
     counters: Counters,
     tasks: Tasks,
     bills: Recorder,
+    availability: Availability,
     shards: Mutex<HashMap<u16, mpsc::Sender<Request>>>,
     pending: AtomicUsize,
 }
@@ -132,6 +138,7 @@
     operation: Operation,
     deadline: Option<Instant>,
     reply: Option<oneshot::Sender<Verdict>>,
+    is_written: bool,
     _pending: Pending,
 }
 
@@ -144,16 +151,21 @@
         counters: Counters,
         tasks: Tasks,
         bills: Recorder,
+        availability: Availability,
     ) -> Self {
         let shards = Mutex::default();
         let pending = AtomicUsize::new(0);
-        let inner = Inner { store, clock, options, counters, tasks, bills, shards, pending };
+        let inner =
+            Inner { store, clock, options, counters, tasks, bills, availability, shards, pending };
         Claims { inner: Arc::new(inner) }
     }
 
     /// Records the claim of a call, or tells what became of an earlier attempt.
     pub async fn claim(&self, key: ClaimKey, nonce: String, fingerprint: String) -> Granting {
         let inner = &self.inner;
+        if !inner.availability.is_up() {
+            return Granting::Unavailable;
+        }
         let record = ClaimRecord {
             nonce: nonce.clone(),
             node: inner.options.node.clone(),
@@ -175,11 +187,8 @@
 
             Some(Verdict::Mismatch) => Granting::Mismatch,
 
-            Some(Verdict::Free) | None => {
-                // The write may still take effect: its claim is withdrawn once the platform answers.
-                inner.submit(key, Operation::Release { nonce }, None).await;
-                Granting::Unavailable
-            }
+            // The task of the shard releases what it may have recorded.
+            Some(Verdict::Free) | None => Granting::Unavailable,
         }
     }
 
@@ -230,6 +239,7 @@
             operation,
             deadline: Some(deadline),
             reply: Some(reply),
+            is_written: false,
             _pending: Pending::start(self),
         };
         let asked = async {
@@ -247,7 +257,8 @@
         reply: Option<oneshot::Sender<Verdict>>,
     ) {
         let _pending = Pending::start(self);
-        let request = Request { key, operation, deadline: None, reply, _pending };
+        let request =
+            Request { key, operation, deadline: None, reply, is_written: false, _pending };
         // A full queue holds the request back, which bounds the memory in a long outage.
         let _ = self.shard(key).send(request).await;
     }
@@ -289,6 +300,7 @@
 impl Worker {
     async fn run(mut self) {
         let mut batch = Vec::new();
+        let mut failures = 0;
         loop {
             if batch.is_empty() {
                 match self.queue.recv().await {
@@ -300,14 +312,29 @@
             while let Ok(request) = self.queue.try_recv() {
                 batch.push(request);
             }
-            if self.commit(&mut batch).await.is_err() {
-                self.cached = None;
-                sleep(Duration::from_millis(self.inner.options.retry_ms)).await;
+            match self.commit(&mut batch).await {
+                Ok(()) => failures = 0,
+
+                Err(error) => {
+                    self.cached = None;
+                    // A conflict shows that the platform answers; another node was quicker.
+                    failures = if matches!(error, Error::Conflict) { 0 } else { failures + 1 };
+                    self.pause(failures).await;
+                }
             }
-            batch.retain(|request| !request.is_expired());
+            batch = batch.into_iter().filter_map(Request::without_expired_claim).collect();
         }
     }
 
+    /// Waits before the next try.
+    async fn pause(&self, failures: u32) {
+        let options = &self.inner.options;
+        let pause_ms = options.retry_ms.saturating_mul(1 << failures.min(16));
+        sleep(Duration::from_millis(pause_ms.min(options.retry_max_ms))).await;
+        let name = format!("{} {}", options.node, self.object);
+        self.inner.availability.wait_up(&name).await;
+    }
+
     /// Applies a batch in one conditional write and answers its requests.
     ///
     /// After an error the batch is kept: reading the shard again shows which operations took
@@ -337,6 +364,7 @@
                 .map_err(|error| Error::Malformed(error.to_string()))?;
             let condition = Condition::unchanged(current.object.as_ref());
             let body = bytes::Bytes::from(body);
+            batch.iter_mut().for_each(|request| request.is_written = true);
             let version = self.inner.store.put(&self.object, body.clone(), condition).await?;
             current.object = Some(Object { body, version });
         } else if was_cached {
@@ -344,8 +372,9 @@
             return Err(Error::Conflict);
         }
         self.cached = Some(current);
-        for (request, verdict) in batch.drain(..).zip(verdicts) {
-            request.answer(verdict);
+        let answered = std::mem::take(batch);
+        for (request, verdict) in answered.into_iter().zip(verdicts) {
+            batch.extend(request.answer(verdict));
         }
         Ok(())
     }
@@ -362,14 +391,32 @@
 }
 
 impl Request {
-    fn is_expired(&self) -> bool {
-        self.deadline.is_some_and(|deadline| deadline <= Instant::now())
+    /// Drops a request whose asker has given up. A claim that may be recorded becomes a release.
+    fn without_expired_claim(self) -> Option<Request> {
+        match self.deadline {
+            Some(deadline) if deadline <= Instant::now() => self.into_release(),
+            _ => Some(self),
+        }
+    }
+
+    /// Answers a request. A claim that was granted after its asker had gone becomes a release.
+    fn answer(mut self, verdict: Verdict) -> Option<Request> {
+        let is_granted = verdict == Verdict::Granted;
+        let is_taken = self.reply.take().is_none_or(|reply| reply.send(verdict).is_ok());
+        if is_granted && !is_taken { self.into_release() } else { None }
     }
 
-    fn answer(self, verdict: Verdict) {
-        if let Some(reply) = self.reply {
-            // The asker may have given up; then its release is on the way.
-            let _ = reply.send(verdict);
+    fn into_release(self) -> Option<Request> {
+        match self.operation {
+            Operation::Claim(claim) if self.is_written => Some(Request {
+                operation: Operation::Release { nonce: claim.nonce },
+                deadline: None,
+                reply: None,
+                is_written: false,
+                ..self
+            }),
+
+            _ => None,
         }
     }
 }
--- a/crates/fescuelock-platform/src/config.rs
+++ b/crates/fescuelock-platform/src/config.rs
@@ -21,13 +21,16 @@
     ///
     /// A watch that has gone silent is noticed after this time and the time of a call.
     pub watch_wait_ms: u64,
-    /// Pause after a failed call, in milliseconds. Defaults to 500.
+    /// Pause after a failed call, in milliseconds. It doubles with each further one. Defaults to
+    /// 250.
     pub retry_ms: u64,
+    /// Longest pause between failed calls, in milliseconds. Defaults to 1,000.
+    pub retry_max_ms: u64,
 }
 
 impl Default for FollowerOptions {
     fn default() -> Self {
-        FollowerOptions { watch_wait_ms: 2_000, retry_ms: 500 }
+        FollowerOptions { watch_wait_ms: 2_000, retry_ms: 250, retry_max_ms: 1_000 }
     }
 }
 
@@ -63,9 +66,15 @@
     /// Follows the rules until the task is dropped.
     pub async fn run(self) {
         let mut seen = None;
+        let mut failures = 0;
         loop {
-            let read = self.read(seen).await;
+            let read = match failures {
+                0 => self.read(seen).await,
+                // A plain read shows at once that the platform answers again; a watch would wait.
+                _ => self.store.get(RULES_KEY).await,
+            };
             self.adopter.note_reachable(read.is_ok());
+            failures = if read.is_ok() { 0 } else { failures + 1 };
             match read {
                 Ok(Some(object)) => {
                     seen = seen.max(Some(object.version));
@@ -74,11 +83,11 @@
                 }
 
                 // An object that does not exist yet answers at once.
-                Ok(None) if seen.is_none() => self.pause().await,
+                Ok(None) if seen.is_none() => self.pause(0).await,
 
                 Ok(None) => {}
 
-                Err(_) => self.pause().await,
+                Err(_) => self.pause(failures - 1).await,
             }
         }
     }
@@ -91,8 +100,9 @@
         }
     }
 
-    async fn pause(&self) {
-        sleep(Duration::from_millis(self.options.retry_ms)).await;
+    async fn pause(&self, doublings: u32) {
+        let pause_ms = self.options.retry_ms.saturating_mul(1 << doublings.min(16));
+        sleep(Duration::from_millis(pause_ms.min(self.options.retry_max_ms))).await;
     }
 }
 
--- a/crates/fescuelock-platform/src/http_store.rs
+++ b/crates/fescuelock-platform/src/http_store.rs
@@ -6,6 +6,7 @@
 use fescuelock_http::net::{BoxFuture, SharedNetwork};
 use http::{Method, StatusCode, header};
 
+use crate::availability::Availability;
 use crate::objects::{Condition, Object, ObjectStore, ObjectVersion};
 use crate::{Error, Result};
 
@@ -39,6 +40,7 @@
     watcher: Client,
     options: HttpStoreOptions,
     counters: Counters,
+    availability: Availability,
 }
 
 impl HttpStore {
@@ -46,7 +48,12 @@
     pub fn new(network: SharedNetwork, options: HttpStoreOptions, counters: Counters) -> Self {
         let client = Client::new(network.clone(), options.address.clone());
         let watcher = Client::new(network, options.address.clone());
-        HttpStore { client, watcher, options, counters }
+        HttpStore { client, watcher, options, counters, availability: Availability::default() }
+    }
+
+    /// Returns whether the platform answers, for other tasks to wait on.
+    pub fn availability(&self) -> Availability {
+        self.availability.clone()
     }
 
     /// Reads a path of the platform that is not an object.
@@ -90,9 +97,11 @@
         self.counters.count(Counter::PlatformCalls);
         let limit_ms = call.limit_ms.max(self.options.call_timeout_ms);
         let answered = client.call(Call { limit_ms, ..call }).await;
-        if answered.as_ref().map_or(true, |answer| answer.status.is_server_error()) {
+        let failed = answered.as_ref().map_or(true, |answer| answer.status.is_server_error());
+        if failed {
             self.counters.count(Counter::PlatformFailures);
         }
+        self.availability.note(!failed);
         Ok(answered?)
     }
 
--- a/crates/fescuelock-platform/src/lib.rs
+++ b/crates/fescuelock-platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! What must last or be agreed is kept in the platform's object API, reached through the narrow
 //! [`objects::ObjectStore`] trait.
 
+pub mod availability;
 pub mod bills;
 pub mod claim_record;
 pub mod claims;
--- a/crates/fescuelock-platform/src/vms.rs
+++ b/crates/fescuelock-platform/src/vms.rs
@@ -71,7 +71,9 @@
 /// Hands each list that has changed to a function.
 pub async fn follow_vms(store: Arc<HttpStore>, interval_ms: u64, take: impl Fn(Vec<Vm>)) {
     let mut tag = None;
+    let availability = store.availability();
     loop {
+        availability.wait_up(VMS_PATH).await;
         // The list grows with the fleet: an unchanged one is not sent again.
         let read = store.read_path_after(VMS_PATH.to_owned(), tag.as_deref()).await;
         if let Ok(Some(document)) = read
--- a/crates/fescuelock-router/src/node.rs
+++ b/crates/fescuelock-router/src/node.rs
@@ -139,8 +139,13 @@
         // Without keys there are no links, and no other node can hold a bill.
         let is_linked = !settings.mesh.keys.keys.is_empty();
         let holder = is_linked.then(|| Arc::new(mesh.clone()) as Arc<dyn BillHolder>);
-        let (bills, writer) =
-            recorder(Arc::clone(&shared_store), recorder_options, counters.clone(), holder);
+        let (bills, writer) = recorder(
+            Arc::clone(&shared_store),
+            recorder_options,
+            counters.clone(),
+            holder,
+            store.availability(),
+        );
         let claims = Claims::new(
             Arc::clone(&shared_store),
             clock,
@@ -148,6 +153,7 @@
             counters.clone(),
             tasks.clone(),
             bills.clone(),
+            store.availability(),
         );
         let shared = Arc::new(Shared {
             config: Arc::clone(&config),
--- a/crates/fescuelock-router/src/service.rs
+++ b/crates/fescuelock-router/src/service.rs
@@ -19,6 +19,7 @@
 use fescuelock_platform::claims::{Claim, Granting};
 use fescuelock_upstreams::dispatch::{Answered, Assignment, Reuse};
 use http::{Method, Request, Response, StatusCode, header};
+use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
 use crate::path::{Caller, Counted, Failure, RequestPath, refuse, unknown};
@@ -60,7 +61,7 @@
     };
     let id = call.id;
     let answered = match (call.repeatable, call.claim_key) {
-        (None, Some(key)) => claimed(&path, &call, key, attempt).await,
+        (None, Some(key)) => detached(&path, call, key, attempt).await,
         _ => unclaimed(&path, &call, attempt).await,
     };
     let mut response = match answered {
@@ -125,6 +126,24 @@
     Ok(forward(path, answer))
 }
 
+/// Carries out a keyed call in a task of its own, so that it ends even if its caller goes away.
+async fn detached(
+    path: &Arc<RequestPath>,
+    call: ServiceCall,
+    key: ClaimKey,
+    attempt: Attempt<Unsent>,
+) -> Result<Response<Body>, Failure> {
+    let (sender, answered) = oneshot::channel();
+    let task_path = Arc::clone(path);
+    path.tasks.spawn(async move {
+        let answer = claimed(&task_path, &call, key, attempt).await;
+        // The caller may have gone; its duplicate will find the result.
+        let _ = sender.send(answer);
+    });
+    let gone = || Err(unknown(Unknown::already_attempted()));
+    answered.await.unwrap_or_else(|_| gone())
+}
+
 /// Sends a keyed call that may not be repeated, once its claim is recorded.
 async fn claimed(
     path: &RequestPath,
--- a/crates/fescuelock-router/src/settings.rs
+++ b/crates/fescuelock-router/src/settings.rs
@@ -225,6 +225,7 @@
     let watch_ms = &mut settings.follower.watch_wait_ms;
     reader.number("platform", "watch_wait_ms", 100..=60_000, watch_ms);
     reader.number("platform", "retry_ms", 10..=60_000, &mut settings.follower.retry_ms);
+    reader.number("platform", "retry_max_ms", 10..=60_000, &mut settings.follower.retry_max_ms);
     reader.number("platform", "vms_interval_ms", 100..=60_000, &mut settings.vms_interval_ms);
 }
 
