--- a/crates/fescuelock-load/tests/links.rs
+++ b/crates/fescuelock-load/tests/links.rs
@@ -243,6 +243,6 @@
     let held = size(&Message::Held(100_000));
     let release = size(&Message::Release(vec![bill.request.into()]));
     println!("hold {hold}, held {held}, release {release} bytes");
-    // 3 KB/s a node at 14 requests a second, over 8 links that each get the release.
-    assert!(14 * (hold + held + 8 * release) <= 3_000 + 14 * 7 * release);
+    // A node may spend 3 KB/s on control and answers 14 requests a second.
+    assert!(14 * (hold + held + release) <= 3_000);
 }
--- a/crates/fescuelock-nodes/src/mesh.rs
+++ b/crates/fescuelock-nodes/src/mesh.rs
@@ -120,6 +120,7 @@
     dialling: BTreeMap<String, Instant>,
     suspected: HashMap<String, Instant>,
     held: HeldBills,
+    holders: BTreeMap<HeldId, String>,
     waiting: HashMap<u64, oneshot::Sender<()>>,
     generations: BTreeMap<String, u64>,
     behind_since: Option<Instant>,
@@ -159,6 +160,7 @@
             dialling: BTreeMap::new(),
             suspected: HashMap::new(),
             held: HeldBills::default(),
+            holders: BTreeMap::new(),
             waiting: HashMap::new(),
             generations: BTreeMap::new(),
             behind_since: None,
@@ -228,8 +230,19 @@
     }
 
     fn release(&self, bills: &[Bill]) {
-        let ids: Vec<HeldId> = bills.iter().map(|bill| bill.request.into()).collect();
-        self.inner.state().broadcast(&Message::Release(ids), None);
+        let mut state = self.inner.state();
+        let mut by_holder = BTreeMap::<String, Vec<HeldId>>::new();
+        for id in bills.iter().map(|bill| HeldId::from(bill.request)) {
+            if let Some(holder) = state.holders.remove(&id) {
+                by_holder.entry(holder).or_default().push(id);
+            }
+        }
+        for (holder, ids) in by_holder {
+            if let Some(handle) = state.links.get(&holder) {
+                // What is not released is recorded twice, and counts once.
+                let _ = handle.queue.try_send(Message::Release(ids));
+            }
+        }
     }
 }
 
@@ -622,7 +635,9 @@
                 .links
                 .iter()
                 .max_by_key(|(node, _)| (is_far(node.as_str()), rank(&self.options.node, node)));
-            let Some(handle) = holder.map(|(_, handle)| handle.clone()) else {
+            let Some((holder, handle)) =
+                holder.map(|(node, handle)| (node.clone(), handle.clone()))
+            else {
                 return false;
             };
             state.next_number += 1;
@@ -632,6 +647,7 @@
                 return false;
             }
             state.waiting.insert(number, waiting);
+            state.holders.insert(bill.request.into(), holder);
             number
         };
         let limit = Duration::from_millis(self.options.hold_timeout_ms);
