platform: Follow rules by patches

Ways: few readers a zone that pass patches over links (a role to fail over), patches in the platform's own small object. Change: an edit also writes the patch from its base; nodes watch that object, apply it if it leads on from what they have and its digest fits, and otherwise read the whole rules.

--- a/crates/fescuelock-core/src/counters.rs
+++ b/crates/fescuelock-core/src/counters.rs
@@ -53,6 +53,8 @@
     AnswersCrossed => "upstream.answers_crossed",
     /// Configurations adopted.
     ConfigAdopted => "config.adopted",
+    /// Configurations that came as a patch to the one in force.
+    ConfigPatched => "config.patched",
     /// Configurations from the platform that were not valid.
     ConfigInvalid => "config.invalid",
     /// Configurations that were offered with a lower generation.
--- a/crates/fescuelock-core/src/rules/mod.rs
+++ b/crates/fescuelock-core/src/rules/mod.rs
@@ -7,11 +7,13 @@
 mod diff;
 mod line;
 mod parse;
+mod patch;
 mod view;
 
 pub use diff::{Change, diff};
 pub use line::{Problem, Severity};
 pub use parse::{FORMS, Form};
+pub use patch::{Hunk, Patch};
 pub use view::{
     CallRule, Fencing, Model, Priority, Protocol, Rollout, Service, StreamIds, Team, Upstream,
     Version, View, Zone,
--- a/crates/fescuelock-operators/src/edit.rs
+++ b/crates/fescuelock-operators/src/edit.rs
@@ -2,9 +2,11 @@
 
 use bytes::Bytes;
 use fescuelock_core::ids::Generation;
-use fescuelock_core::rules::{self, Change, Problem};
+use fescuelock_core::rules::{self, Change, Patch, Problem};
 use fescuelock_platform::Error as PlatformError;
-use fescuelock_platform::objects::{Condition, Object, ObjectStore, RULES_KEY, history_key};
+use fescuelock_platform::objects::{
+    Condition, Object, ObjectStore, PATCH_KEY, RULES_KEY, history_key,
+};
 
 use crate::{Error, Result};
 
@@ -74,11 +76,14 @@
     if before_generation != base {
         return Err(conflict(store, base, before.as_ref()).await);
     }
+    let patch_before = store.get(PATCH_KEY).await.ok().flatten();
     let generation = write(store, rules_text, base, before.as_ref()).await?;
+    let old = before.as_ref().map(current_of).map_or_else(String::new, |current| current.text);
+    let patch = Patch::between(base, &old, generation, rules_text);
+    write_patch(store, &patch, patch_before.as_ref()).await;
     // The copy serves to show what a change did; the rules are in force without it.
     let body = Bytes::from(rules_text.to_owned());
     let _ = store.put(&history_key(generation), body, Condition::Absent).await;
-    let old = before.as_ref().map(current_of).map_or_else(String::new, |current| current.text);
     Ok(Applied { generation, changes: rules::diff(&old, rules_text), warnings: report.problems })
 }
 
@@ -94,6 +99,14 @@
     Ok(read?)
 }
 
+/// Writes the patch that nodes watch. A node that misses it reads the whole rules a little later.
+async fn write_patch(store: &dyn ObjectStore, patch: &Patch, before: Option<&Object>) {
+    if let Ok(body) = serde_json::to_vec(patch) {
+        let condition = Condition::unchanged(before);
+        let _ = store.put(PATCH_KEY, Bytes::from(body), condition).await;
+    }
+}
+
 /// Writes the rules. A write without an answer is looked up before it is tried again.
 async fn write(
     store: &dyn ObjectStore,
--- a/crates/fescuelock-platform/src/config.rs
+++ b/crates/fescuelock-platform/src/config.rs
@@ -7,12 +7,12 @@
 use fescuelock_core::config::{Adoption, ConfigCell};
 use fescuelock_core::counters::{Counter, Counters};
 use fescuelock_core::ids::Generation;
-use fescuelock_core::rules;
+use fescuelock_core::rules::{self, Patch};
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
 
 use crate::Result;
-use crate::objects::{Object, ObjectVersion, RULES_KEY, SharedStore};
+use crate::objects::{ObjectVersion, PATCH_KEY, RULES_KEY, SharedStore};
 
 /// `FollowerOptions` configures how the rules are followed.
 #[derive(Debug, Clone)]
@@ -52,6 +52,13 @@
     pub text: String,
 }
 
+/// `Seen` is what a follower has read.
+#[derive(Debug, Default)]
+struct Seen {
+    rules: Option<ObjectVersion>,
+    patch: Option<ObjectVersion>,
+}
+
 /// `Follower` keeps the configuration of one node up to date.
 pub struct Follower {
     /// The platform.
@@ -65,39 +72,65 @@
 impl Follower {
     /// Follows the rules until the task is dropped.
     pub async fn run(self) {
-        let mut seen = None;
+        let mut seen = Seen::default();
         let mut failures = 0;
         loop {
             let read = match failures {
-                0 => self.read(seen).await,
+                0 => self.follow(&mut seen).await,
                 // A plain read shows at once that the platform answers again; a watch would wait.
-                _ => self.store.get(RULES_KEY).await,
+                _ => self.read_rules(&mut seen, 0).await,
             };
             self.adopter.note_reachable(read.is_ok());
-            failures = if read.is_ok() { 0 } else { failures + 1 };
             match read {
-                Ok(Some(object)) => {
-                    seen = seen.max(Some(object.version));
-                    let text = String::from_utf8_lossy(&object.body);
-                    self.adopter.offer(object.version.0, &text);
-                }
+                // Rules that do not exist yet answer at once.
+                Ok(()) if seen.rules.is_none() => self.pause(0).await,
 
-                // An object that does not exist yet answers at once.
-                Ok(None) if seen.is_none() => self.pause(0).await,
+                Ok(()) => failures = 0,
 
-                Ok(None) => {}
+                Err(_) => {
+                    self.pause(failures).await;
+                    failures += 1;
+                }
+            }
+        }
+    }
 
-                Err(_) => self.pause(failures - 1).await,
+    /// Waits for a patch, and reads the whole rules if none came or it does not fit.
+    async fn follow(&self, seen: &mut Seen) -> Result<()> {
+        if seen.rules.is_none() {
+            return self.read_rules(seen, 0).await;
+        }
+        // A watch that fails or falls silent is followed by a plain read.
+        let watched = self.store.watch(PATCH_KEY, seen.patch, self.options.watch_wait_ms).await;
+        let Ok(Some(object)) = watched else {
+            let without_patch = matches!(watched, Ok(None)) && seen.patch.is_none();
+            let wait_ms = if without_patch { self.options.watch_wait_ms } else { 0 };
+            return self.read_rules(seen, wait_ms).await;
+        };
+        seen.patch = seen.patch.max(Some(object.version));
+        match self.adopter.offer_patch(&object.body) {
+            Some(generation) => {
+                seen.rules = seen.rules.max(Some(ObjectVersion(generation)));
+                Ok(())
             }
+
+            None => self.read_rules(seen, 0).await,
         }
     }
 
-    /// Waits for a change. A watch that fails or falls silent is followed by a plain read.
-    async fn read(&self, seen: Option<ObjectVersion>) -> Result<Option<Object>> {
-        match self.store.watch(RULES_KEY, seen, self.options.watch_wait_ms).await {
-            Ok(read) => Ok(read),
-            Err(_) => self.store.get(RULES_KEY).await,
+    /// Reads the whole rules if they have changed, or change within the given time.
+    async fn read_rules(&self, seen: &mut Seen, wait_ms: u64) -> Result<()> {
+        let watched = self.store.watch(RULES_KEY, seen.rules, wait_ms).await;
+        let read = match watched {
+            Ok(read) => read,
+            Err(_) => self.store.get(RULES_KEY).await?,
+        };
+        if let Some(object) = read {
+            seen.rules = seen.rules.max(Some(object.version));
+            let text = String::from_utf8_lossy(&object.body);
+            self.adopter.offer(object.version.0, &text);
         }
+        Ok(())
     }
 
     async fn pause(&self, doublings: u32) {
@@ -162,6 +195,24 @@
         }
     }
 
+    /// Applies a patch to the rules in force, and returns the generation that is then in force.
+    ///
+    /// Returns `None` for a patch that does not lead on from the rules in force.
+    fn offer_patch(&self, body: &[u8]) -> Option<u64> {
+        let patch: Patch = serde_json::from_slice(body).ok()?;
+        let current = self.current()?;
+        if patch.generation <= current.generation {
+            return Some(current.generation);
+        }
+        if patch.base != current.generation {
+            return None;
+        }
+        let text = patch.apply(&current.text)?;
+        self.offer(patch.generation, &text);
+        self.counters.count(Counter::ConfigPatched);
+        Some(patch.generation)
+    }
+
     /// Keeps the text of the rules in force for other nodes.
     fn keep(&self, rules: RulesText) {
         let mut text = self.text.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/fescuelock-platform/src/objects.rs
+++ b/crates/fescuelock-platform/src/objects.rs
@@ -78,6 +78,10 @@
 /// Key of the rules object. Its version is the generation of the configuration.
 pub const RULES_KEY: &str = "config/rules";
 
+/// Key of the patch that leads to the newest rules. It is small, so nodes watch it instead of the
+/// rules.
+pub const PATCH_KEY: &str = "config/patch";
+
 /// Returns the key of the copy of a generation of the rules.
 pub fn history_key(generation: u64) -> String {
     format!("config/history/{generation:020}")
--- a/crates/fescuelock-router/src/node.rs
+++ b/crates/fescuelock-router/src/node.rs
@@ -199,7 +199,8 @@
         };
         tasks.spawn(follower.run());
         if is_linked {
-            mesh.run(nodes, Arc::new(Local { adopter, bills: shared.bills.clone() }));
+            let local = Local { config: Arc::clone(&config), adopter, bills: shared.bills.clone() };
+            mesh.run(nodes, Arc::new(local));
             tasks.spawn(announce(mesh.clone(), config.subscribe()));
         }
         tasks.spawn(follow_vms(store, settings.vms_interval_ms, move |vms| {
@@ -337,13 +338,14 @@
 
 /// `Local` is what the links to other nodes need of this one.
 struct Local {
+    config: Arc<ConfigCell>,
     adopter: Arc<Adopter>,
     bills: Recorder,
 }
 
 impl LocalNode for Local {
     fn generation(&self) -> u64 {
-        self.adopter.current().map_or(0, |rules| rules.generation)
+        self.config.current().generation.0
     }
 
     fn rules(&self) -> Option<(u64, String)> {
