router: Split the start of a node and the state of links

Change: parts that are built, followed and served each have a function; the shared state of links has a module. Conclusion: each step of a start can be read by itself.

--- a/crates/fescuelock-nodes/src/lib.rs
+++ b/crates/fescuelock-nodes/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod members;
 pub mod mesh;
 pub mod messages;
+mod state;
 
 pub use errors::{Error, Result};
--- a/crates/fescuelock-nodes/src/mesh.rs
+++ b/crates/fescuelock-nodes/src/mesh.rs
@@ -1,7 +1,6 @@
 //! The links of one node: which it keeps, what goes over them and what follows from their loss.
 
-use std::collections::{BTreeMap, HashMap};
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -10,23 +9,20 @@
 use fescuelock_core::tasks::Tasks;
 use fescuelock_http::net::{BoxFuture, BoxIo, Listener, SharedNetwork};
 use fescuelock_platform::bills::{Bill, BillHolder};
-use rand::{Rng, RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use rand::{Rng, RngExt};
 use slog::{Logger, debug, info};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
 
-use crate::held::HeldBills;
 use crate::link::{Introduction, Link, NodeKeys};
-use crate::members::{Member, MemberState, Members};
+use crate::members::{Member, MemberState};
 use crate::messages::{Heartbeat, HeldBill, HeldId, Message};
+use crate::state::{Handle, State, rank};
 use crate::{Error, Result};
 
 /// Time for which rules are awaited from the platform before another node is asked, in
 /// milliseconds.
 const RULES_DELAY_MS: u64 = 1_000;
-/// Age at which a link that neither end wants is closed, in milliseconds.
-const UNWANTED_MAX_MS: u64 = 10_000;
 /// Messages that wait for one link at most. A link that is slower is closed.
 const QUEUE_MAX: usize = 256;
 
@@ -114,29 +110,6 @@
     bytes_sent: AtomicU64,
 }
 
-struct State {
-    members: Members,
-    links: BTreeMap<String, Handle>,
-    dialling: BTreeMap<String, Instant>,
-    suspected: HashMap<String, Instant>,
-    held: HeldBills,
-    holders: BTreeMap<HeldId, String>,
-    waiting: HashMap<u64, oneshot::Sender<()>>,
-    generations: BTreeMap<String, u64>,
-    behind_since: Option<Instant>,
-    seeds: Vec<String>,
-    next_number: u64,
-    rng: ChaCha8Rng,
-}
-
-/// `Handle` leads to the task of one link.
-#[derive(Clone)]
-struct Handle {
-    number: u64,
-    opened: Instant,
-    queue: mpsc::Sender<Message>,
-}
-
 impl Mesh {
     /// Builds the links of a node. No connection is opened before [`Mesh::run`].
     pub fn new(
@@ -147,27 +120,7 @@
         logger: Logger,
         tasks: Tasks,
     ) -> Self {
-        let own = Member {
-            node: options.node.clone(),
-            address: address.to_owned(),
-            zone: options.zone.clone(),
-            incarnation: options.incarnation,
-            state: MemberState::Alive,
-        };
-        let state = State {
-            members: Members::new(own),
-            links: BTreeMap::new(),
-            dialling: BTreeMap::new(),
-            suspected: HashMap::new(),
-            held: HeldBills::default(),
-            holders: BTreeMap::new(),
-            waiting: HashMap::new(),
-            generations: BTreeMap::new(),
-            behind_since: None,
-            seeds: options.seeds.clone(),
-            next_number: 0,
-            rng: ChaCha8Rng::seed_from_u64(options.seed),
-        };
+        let state = State::new(address, &options);
         let inner = Inner {
             network,
             options,
@@ -246,88 +199,6 @@
     }
 }
 
-impl State {
-    fn heartbeat(&self, generation: u64) -> Heartbeat {
-        Heartbeat { generation, members_digest: self.members.digest() }
-    }
-
-    /// Queues a message on every link but one.
-    fn broadcast(&mut self, message: &Message, except: Option<&str>) {
-        for (node, handle) in &self.links {
-            if Some(node.as_str()) != except {
-                // A full queue ends the link at its next deadline.
-                let _ = handle.queue.try_send(message.clone());
-            }
-        }
-    }
-
-    /// Merges entries of the table and forwards what is news.
-    fn merge(&mut self, entries: Vec<Member>, from: Option<&str>, now: Instant) {
-        let news = self.members.merge(entries);
-        for member in &news {
-            match member.state {
-                MemberState::Suspect => {
-                    self.suspected.entry(member.node.clone()).or_insert(now);
-                }
-                _ => {
-                    self.suspected.remove(&member.node);
-                }
-            }
-        }
-        if !news.is_empty() {
-            self.broadcast(&Message::Members(news), from);
-        }
-    }
-
-    /// Closes links that neither end would open by itself, such as those to seeds.
-    fn prune(&mut self, own: &str, links: usize, now: Instant) {
-        let mut names: Vec<&str> = self.members.others().map(|other| other.node.as_str()).collect();
-        names.push(own);
-        let age_max = Duration::from_millis(UNWANTED_MAX_MS);
-        let unwanted: Vec<String> = self
-            .links
-            .iter()
-            .filter(|(_, handle)| now.duration_since(handle.opened) > age_max)
-            .map(|(peer, _)| peer)
-            .filter(|peer| !is_chosen(&names, own, peer, links))
-            .filter(|peer| !is_chosen(&names, peer, own, links))
-            .cloned()
-            .collect();
-        for peer in unwanted {
-            self.links.remove(&peer);
-        }
-    }
-
-    /// Returns the addresses of the nodes that this one should have links to and has not.
-    fn wanted(&mut self, own: &str, links: usize, now: Instant) -> Vec<String> {
-        let mut ranked: Vec<(u64, &Member)> =
-            self.members.others().map(|member| (rank(own, &member.node), member)).collect();
-        ranked.sort_by_key(|(rank, _)| *rank);
-        let missing = ranked
-            .iter()
-            .take(links)
-            .filter(|(_, member)| !self.links.contains_key(&member.node))
-            .map(|(_, member)| member.address.clone());
-        let mut wanted: Vec<String> = missing.collect();
-        // Seeds that no known node has are looked up one at a time, which also heals a cut.
-        let known: Vec<&str> = self
-            .members
-            .iter()
-            .filter(|member| member.node == own || member.state <= MemberState::Suspect)
-            .map(|member| member.address.as_str())
-            .collect();
-        let unknown: Vec<String> =
-            self.seeds.iter().filter(|seed| !known.contains(&seed.as_str())).cloned().collect();
-        if !unknown.is_empty() {
-            let index = self.rng.random_range(0..unknown.len());
-            wanted.push(unknown[index].clone());
-        }
-        self.dialling.retain(|_, until| *until > now);
-        wanted.retain(|address| !self.dialling.contains_key(address));
-        wanted
-    }
-}
-
 impl Inner {
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -663,20 +534,3 @@
         debug!(self.logger, "link refused"; "error" => error.to_string());
     }
 }
-
-/// Tells whether a node opens a link to another by itself: whether the other is among its first.
-fn is_chosen(names: &[&str], from: &str, to: &str, links: usize) -> bool {
-    let own_rank = rank(from, to);
-    let ahead = names
-        .iter()
-        .filter(|name| **name != from && **name != to)
-        .filter(|name| rank(from, name) < own_rank);
-    ahead.count() < links
-}
-
-/// Ranks a node among those that another may link to, the same in every process.
-fn rank(own: &str, other: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (own, other).hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/fescuelock-router/src/node.rs
+++ b/crates/fescuelock-router/src/node.rs
@@ -16,7 +16,7 @@
 use fescuelock_http::server::{Server, ServerOptions};
 use fescuelock_nodes::mesh::{LocalNode, Mesh, MeshOptions};
 use fescuelock_operators::admin::{Admin, NodeStatus, StatusSource, resident_kib};
-use fescuelock_platform::bills::{Bill, BillHolder, Recorder, RecorderOptions, recorder};
+use fescuelock_platform::bills::{Bill, BillHolder, Recorder, RecorderOptions, Writer, recorder};
 use fescuelock_platform::claims::Claims;
 use fescuelock_platform::config::{Adopter, Follower};
 use fescuelock_platform::http_store::{HttpStore, HttpStoreOptions};
@@ -78,76 +78,77 @@
     in_flight: Arc<AtomicU64>,
     draining: AtomicBool,
     logger: Logger,
+    clock: Clock,
+    store: Arc<HttpStore>,
     mesh: Mesh,
 }
 
-/// `Drained` tells how a node's drain ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Drained {
-    /// Requests that were cut off because the time for them was over.
-    pub requests_cut: u64,
-    /// Bills that could not be recorded in time.
-    pub bills_lost: u64,
+/// `Listeners` are the sockets of a node.
+struct Listeners {
+    callers: Box<dyn Listener>,
+    operators: Box<dyn Listener>,
+    nodes: Box<dyn Listener>,
 }
 
-impl Node<Running> {
-    /// Starts a node. It is ready once it has a configuration confirmed by the platform.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::Listen`] if an address cannot be listened on and [`Error::Metrics`] if the
-    /// sender of metrics cannot be built.
-    pub async fn start(settings: Settings, environment: Environment) -> Result<Self> {
-        let Environment { network, clock, seed, logger } = environment;
+impl Listeners {
+    async fn bind(network: &SharedNetwork, settings: &Settings) -> Result<Self> {
+        Ok(Listeners {
+            callers: listen(network, &settings.callers_listen).await?,
+            operators: listen(network, &settings.operators_listen).await?,
+            nodes: listen(network, &settings.nodes_listen).await?,
+        })
+    }
+}
+
+impl Shared {
+    /// Builds what the parts of a node have in common, and the writer of its bills.
+    fn build(
+        settings: Settings,
+        environment: &Environment,
+        nodes_address: &str,
+        rng: &mut ChaCha8Rng,
+    ) -> Result<(Arc<Self>, Writer)> {
         let counters = counters(&settings)?;
         let tasks = Tasks::default();
-        let config = Arc::new(ConfigCell::default());
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let clock = environment.clock;
         let store_options = HttpStoreOptions {
             address: settings.platform_address.clone(),
             call_timeout_ms: settings.platform_call_timeout_ms,
         };
+        let network = environment.network.clone();
         let store = Arc::new(HttpStore::new(network.clone(), store_options, counters.clone()));
-        let shared_store: SharedStore = Arc::clone(&store) as SharedStore;
-
-        let callers = listen(&network, &settings.callers_listen).await?;
-        let operators = listen(&network, &settings.operators_listen).await?;
-        let (callers_address, operators_address) = (callers.address(), operators.address());
-
-        // The claims and bills of a start are told from those of all others by a random name.
-        let recorder_options = RecorderOptions {
-            node: settings.node.clone(),
-            boot: format!("{:016x}", rng.next_u64()),
-            flush_ms: settings.bills_flush_ms,
-            ..RecorderOptions::default()
-        };
-        let nodes = listen(&network, &settings.nodes_listen).await?;
-        let nodes_address = nodes.address();
         let mesh_options = MeshOptions {
             incarnation: clock.now_ms(),
             seed: rng.next_u64(),
             ..settings.mesh.clone()
         };
+        let logger = environment.logger.clone();
         let mesh = Mesh::new(
-            network.clone(),
-            &nodes_address,
+            network,
+            nodes_address,
             mesh_options,
             counters.clone(),
             logger.clone(),
             tasks.clone(),
         );
-        // Without keys there are no links, and no other node can hold a bill.
-        let is_linked = !settings.mesh.keys.keys.is_empty();
-        let holder = is_linked.then(|| Arc::new(mesh.clone()) as Arc<dyn BillHolder>);
+        // The bills of a start are told from those of all others by a random name.
+        let recorder_options = RecorderOptions {
+            node: settings.node.clone(),
+            boot: format!("{:016x}", rng.next_u64()),
+            flush_ms: settings.bills_flush_ms,
+            ..RecorderOptions::default()
+        };
+        // Without links no other node can hold a bill.
+        let holder = settings.is_linked().then(|| Arc::new(mesh.clone()) as Arc<dyn BillHolder>);
         let (bills, writer) = recorder(
-            Arc::clone(&shared_store),
+            Arc::clone(&store) as SharedStore,
             recorder_options,
             counters.clone(),
             holder,
             store.availability(),
         );
         let claims = Claims::new(
-            Arc::clone(&shared_store),
+            Arc::clone(&store) as SharedStore,
             clock,
             settings.claims.clone(),
             counters.clone(),
@@ -155,74 +156,55 @@
             bills.clone(),
             store.availability(),
         );
-        let shared = Arc::new(Shared {
-            config: Arc::clone(&config),
-            counters: counters.clone(),
-            bills: bills.clone(),
-            claims: claims.clone(),
-            tasks: tasks.clone(),
+        let shared = Shared {
+            settings,
+            config: Arc::new(ConfigCell::default()),
+            counters,
+            bills,
+            claims,
+            tasks,
             stop_callers: CancellationToken::new(),
             stop_operators: CancellationToken::new(),
             in_flight: Arc::default(),
             draining: AtomicBool::new(false),
-            logger: logger.clone(),
-            settings: settings.clone(),
-            mesh: mesh.clone(),
-        });
-        let registry = Arc::new(Registry::new(network, settings.upstreams.clone()));
-        let path = Arc::new(RequestPath {
-            config: Arc::clone(&config),
-            dispatcher: Dispatcher {
-                config: Arc::clone(&config),
-                registry,
-                counters: counters.clone(),
-            },
-            claims,
-            bills,
-            sessions: settings.session_keys.clone(),
+            logger,
             clock,
-            counters: counters.clone(),
-            tasks: tasks.clone(),
-            zone: settings.zone.clone(),
-            intake: settings.intake.clone(),
-            options: settings.path.clone(),
-            rng: Mutex::new(rng),
-            in_flight: Arc::clone(&shared.in_flight),
-        });
-
-        tasks.spawn(writer.run());
-        let adopter = Arc::new(Adopter::new(Arc::clone(&config), counters, logger.clone()));
-        let follower = Follower {
-            store: shared_store,
-            adopter: Arc::clone(&adopter),
-            options: settings.follower.clone(),
-        };
-        tasks.spawn(follower.run());
-        if is_linked {
-            let local = Local { config: Arc::clone(&config), adopter, bills: shared.bills.clone() };
-            mesh.run(nodes, Arc::new(local));
-            tasks.spawn(announce(mesh.clone(), config.subscribe()));
-        }
-        tasks.spawn(follow_vms(store, settings.vms_interval_ms, move |vms| {
-            take_vms(&vms, &config, &mesh);
-        }));
-        let callers_server = Server {
-            options: ServerOptions {
-                header_timeout_ms: settings.header_timeout_ms,
-                ..ServerOptions::default()
-            },
-            tasks: tasks.clone(),
-            stop: shared.stop_callers.clone(),
+            store,
+            mesh,
         };
-        tasks.spawn(callers_server.run(callers, path));
-        let operators_server = Server {
-            options: ServerOptions::default(),
-            tasks: tasks.clone(),
-            stop: shared.stop_operators.clone(),
-        };
-        let admin = Admin { source: Arc::clone(&shared), key_hash: settings.operators_key_hash };
-        tasks.spawn(operators_server.run(operators, Arc::new(admin)));
-        info!(logger, "node started"; "callers" => &callers_address, "operators" => &operators_address);
+        Ok((Arc::new(shared), writer))
+    }
+}
+
+/// `Drained` tells how a node's drain ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Drained {
+    /// Requests that were cut off because the time for them was over.
+    pub requests_cut: u64,
+    /// Bills that could not be recorded in time.
+    pub bills_lost: u64,
+}
+
+impl Node<Running> {
+    /// Starts a node. It is ready once it has a configuration confirmed by the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Listen`] if an address cannot be listened on and [`Error::Metrics`] if the
+    /// sender of metrics cannot be built.
+    pub async fn start(settings: Settings, environment: Environment) -> Result<Self> {
+        let listeners = Listeners::bind(&environment.network, &settings).await?;
+        let callers_address = listeners.callers.address();
+        let operators_address = listeners.operators.address();
+        let nodes_address = listeners.nodes.address();
+        let mut rng = ChaCha8Rng::seed_from_u64(environment.seed);
+        let (shared, writer) = Shared::build(settings, &environment, &nodes_address, &mut rng)?;
+        shared.tasks.spawn(writer.run());
+        follow_platform(&shared, listeners.nodes);
+        serve_callers(&shared, &environment, rng, listeners.callers);
+        serve_operators(&shared, listeners.operators);
+        info!(shared.logger, "node started";
+            "callers" => &callers_address, "operators" => &operators_address);
         Ok(Node { shared, callers_address, operators_address, nodes_address, state: PhantomData })
     }
 
@@ -336,6 +318,78 @@
     }
 }
 
+/// Starts the tasks that follow the rules, the list of VMs and the other nodes.
+fn follow_platform(shared: &Arc<Shared>, nodes: Box<dyn Listener>) {
+    let (config, counters) = (Arc::clone(&shared.config), shared.counters.clone());
+    let adopter = Arc::new(Adopter::new(config, counters, shared.logger.clone()));
+    let follower = Follower {
+        store: Arc::clone(&shared.store) as SharedStore,
+        adopter: Arc::clone(&adopter),
+        options: shared.settings.follower.clone(),
+    };
+    shared.tasks.spawn(follower.run());
+    if shared.settings.is_linked() {
+        let local =
+            Local { config: Arc::clone(&shared.config), adopter, bills: shared.bills.clone() };
+        shared.mesh.run(nodes, Arc::new(local));
+        shared.tasks.spawn(announce(shared.mesh.clone(), shared.config.subscribe()));
+    }
+    let (config, mesh) = (Arc::clone(&shared.config), shared.mesh.clone());
+    let take = move |vms: Vec<Vm>| take_vms(&vms, &config, &mesh);
+    let interval_ms = shared.settings.vms_interval_ms;
+    shared.tasks.spawn(follow_vms(Arc::clone(&shared.store), interval_ms, take));
+}
+
+/// Starts to answer callers.
+fn serve_callers(
+    shared: &Arc<Shared>,
+    environment: &Environment,
+    rng: ChaCha8Rng,
+    listener: Box<dyn Listener>,
+) {
+    let settings = &shared.settings;
+    let registry = Registry::new(environment.network.clone(), settings.upstreams.clone());
+    let path = RequestPath {
+        config: Arc::clone(&shared.config),
+        dispatcher: Dispatcher {
+            config: Arc::clone(&shared.config),
+            registry: Arc::new(registry),
+            counters: shared.counters.clone(),
+        },
+        claims: shared.claims.clone(),
+        bills: shared.bills.clone(),
+        sessions: settings.session_keys.clone(),
+        clock: shared.clock,
+        counters: shared.counters.clone(),
+        tasks: shared.tasks.clone(),
+        zone: settings.zone.clone(),
+        intake: settings.intake.clone(),
+        options: settings.path.clone(),
+        rng: Mutex::new(rng),
+        in_flight: Arc::clone(&shared.in_flight),
+    };
+    let server = Server {
+        options: ServerOptions {
+            header_timeout_ms: settings.header_timeout_ms,
+            ..ServerOptions::default()
+        },
+        tasks: shared.tasks.clone(),
+        stop: shared.stop_callers.clone(),
+    };
+    shared.tasks.spawn(server.run(listener, Arc::new(path)));
+}
+
+/// Starts to answer operators.
+fn serve_operators(shared: &Arc<Shared>, listener: Box<dyn Listener>) {
+    let admin = Admin { source: Arc::clone(shared), key_hash: shared.settings.operators_key_hash };
+    let server = Server {
+        options: ServerOptions::default(),
+        tasks: shared.tasks.clone(),
+        stop: shared.stop_operators.clone(),
+    };
+    shared.tasks.spawn(server.run(listener, Arc::new(admin)));
+}
+
 /// `Local` is what the links to other nodes need of this one.
 struct Local {
     config: Arc<ConfigCell>,
--- a/crates/fescuelock-router/src/settings.rs
+++ b/crates/fescuelock-router/src/settings.rs
@@ -133,6 +133,11 @@
             statsd_address: None,
         }
     }
+
+    /// Tells whether the node has links to others.
+    pub fn is_linked(&self) -> bool {
+        !self.mesh.keys.keys.is_empty()
+    }
 }
 
 /// `Fault` is one thing that is wrong with a settings file.
