core: Judge generations in one place

Cause: the adopter and the cell each compared generations, so breaking the cell's comparison on purpose went unnoticed in 400 cases: the other one held. Change: ConfigCell::judge serves both. Conclusion: the rule that a generation never falls stands once.

--- a/crates/fescuelock-core/src/config.rs
+++ b/crates/fescuelock-core/src/config.rs
@@ -43,24 +43,27 @@
         self.current.load_full()
     }
 
-    /// Puts a view in force, unless the one in force is as new or newer.
-    pub fn adopt(&self, mut view: View) -> Adoption {
-        let _guard = self.adopting.lock().unwrap_or_else(PoisonError::into_inner);
-        let current = self.current.load_full();
-        match view.generation.cmp(&current.generation) {
+    /// Tells what would become of a configuration of the given generation.
+    pub fn judge(&self, generation: Generation) -> Adoption {
+        match generation.cmp(&self.current.load().generation) {
             std::cmp::Ordering::Less => Adoption::Stale,
-
             std::cmp::Ordering::Equal => Adoption::Current,
+            std::cmp::Ordering::Greater => Adoption::Adopted,
+        }
+    }
 
-            std::cmp::Ordering::Greater => {
-                // The list of leaving VMs is not part of the rules and survives their change.
-                view.leaving.clone_from(&current.leaving);
-                let generation = view.generation;
-                self.current.store(Arc::new(view));
-                self.generation.send_replace(generation);
-                Adoption::Adopted
-            }
+    /// Puts a view in force, unless the one in force is as new or newer.
+    pub fn adopt(&self, mut view: View) -> Adoption {
+        let _guard = self.adopting.lock().unwrap_or_else(PoisonError::into_inner);
+        let judged = self.judge(view.generation);
+        if judged == Adoption::Adopted {
+            // The list of leaving VMs is not part of the rules and survives their change.
+            view.leaving.clone_from(&self.current.load().leaving);
+            let generation = view.generation;
+            self.current.store(Arc::new(view));
+            self.generation.send_replace(generation);
         }
+        judged
     }
 
     /// Replaces the addresses of upstreams whose VMs the platform lists as leaving.
--- a/crates/fescuelock-platform/src/config.rs
+++ b/crates/fescuelock-platform/src/config.rs
@@ -165,11 +165,10 @@
     /// Puts rules in force if they are valid and newer than those in force.
     pub fn offer(&self, version: u64, text: &str) {
         let generation = Generation(version);
-        if generation <= self.config.current().generation {
-            if generation < self.config.current().generation {
-                self.counters.count(Counter::ConfigStale);
-            }
-            return;
+        // Rules that would be dropped need not be compiled.
+        let judged = self.config.judge(generation);
+        if judged != Adoption::Adopted {
+            return self.note_adoption(judged, version);
         }
         let report = rules::check(text, generation);
         let first_error = report.errors().next().map(ToString::to_string);
@@ -179,19 +178,23 @@
                 "generation" => version, "error" => first_error.unwrap_or_default());
             return;
         };
-        match self.config.adopt(view) {
+        let adopted = self.config.adopt(view);
+        if adopted == Adoption::Adopted {
+            self.keep(RulesText { generation: version, text: text.to_owned() });
+        }
+        self.note_adoption(adopted, version);
+    }
+
+    fn note_adoption(&self, adoption: Adoption, version: u64) {
+        match adoption {
             Adoption::Adopted => {
-                self.keep(RulesText { generation: version, text: text.to_owned() });
                 self.counters.count(Counter::ConfigAdopted);
                 info!(self.logger, "configuration in force"; "generation" => version);
             }
 
             Adoption::Current => {}
 
-            Adoption::Stale => {
-                self.counters.count(Counter::ConfigStale);
-                warn!(self.logger, "stale configuration dropped"; "generation" => version);
-            }
+            Adoption::Stale => self.counters.count(Counter::ConfigStale),
         }
     }
 
--- a/scripts/break-promises.sh
+++ b/scripts/break-promises.sh
@@ -59,7 +59,7 @@
     '{ let _ = cause_of(&error); Dispatch::NotSent(attempt.returned(ReturnedRequest)) }'
 break_promise "a lower generation is adopted" crates/fescuelock-core/src/config.rs \
     'std::cmp::Ordering::Less => Adoption::Stale,' \
-    'std::cmp::Ordering::Less => { self.current.store(Arc::new(view)); Adoption::Stale }'
+    'std::cmp::Ordering::Less => Adoption::Adopted,'
 break_promise "placement is not confirmed before the send" crates/fescuelock-core/src/placement.rs \
     'check_version(view, team_key, version)?;' ''
 break_promise "a session may move" $router/chat.rs \
