router: Name a version and a session only in answers that ran

Cause: a failed chat request carried the version header, which names what ran, and a new session's token. Change: failures carry neither. Conclusion: headers of a refusal tell no more than happened.

--- a/crates/fescuelock-load/tests/streams.rs
+++ b/crates/fescuelock-load/tests/streams.rs
@@ -156,6 +156,17 @@
     assert_eq!(bed.engine_runs().len(), runs, "a withdrawn version took new work");
 }
 
+#[tokio::test(start_paused = true)]
+async fn failure_names_no_version() {
+    let bed = Bed::start(1, "").await;
+    bed.engine_faults(&EngineFaults { crossed: true, ..EngineFaults::default() });
+    let chat = Chat { session: Some("new".to_owned()), ..whole("crossed") };
+    let reply = bed.caller(0, CHEAP_TEAM).chat(&chat).await;
+    assert_eq!((reply.outcome.as_str(), reply.code.as_str()), ("unknown", "answer_invalid"));
+    assert_eq!((reply.version.as_str(), reply.session), ("", None));
+    assert_eq!(reply.request_id.len(), 32);
+}
+
 #[tokio::test(start_paused = true)]
 async fn http2_engines() {
     let sample = SampleOptions { protocol: "http2".to_owned(), ..SampleOptions::default() };
--- a/crates/fescuelock-router/src/chat.rs
+++ b/crates/fescuelock-router/src/chat.rs
@@ -58,7 +58,7 @@
     };
     let mut response = match answered {
         Ok(response) => response,
-        Err(failure) => path.fail(id, failure),
+        Err(failure) => return path.fail(id, failure),
     };
     answer::set_header(&mut response, headers::REQUEST_ID, &id.to_string());
     answer::set_header(&mut response, headers::VERSION, &version);
@@ -180,10 +180,9 @@
                 return Ok(response);
             }
 
-            Err(cause) if tried.len() < path.options.attempts_max as usize => {
+            Err(_) if tried.len() < path.options.attempts_max as usize => {
                 path.dispatcher.note_failure(in_flight.peer());
                 progress = attempt.repeat(Repeatable);
-                let _ = cause;
             }
 
             Err(cause) => return Err(crate::path::unknown(attempt.unknown(cause))),
--- a/crates/fescuelock-router/src/path.rs
+++ b/crates/fescuelock-router/src/path.rs
@@ -13,7 +13,9 @@
 use fescuelock_core::config::ConfigCell;
 use fescuelock_core::counters::{Counter, Counters};
 use fescuelock_core::ids::{Generation, RequestId, TeamKey, UpstreamKey};
-use fescuelock_core::outcome::{Attempt, NotRun, Outcome, Progress, Unknown, UnknownCause, Unsent};
+use fescuelock_core::outcome::{
+    Attempt, Outcome, Progress, Repeatable, Unknown, UnknownCause, Unsent,
+};
 use fescuelock_core::placement::choose_upstream;
 use fescuelock_core::refusal::Refusal;
 use fescuelock_core::rules::View;
@@ -25,6 +27,7 @@
 use fescuelock_platform::bills::Recorder;
 use fescuelock_platform::claims::Claims;
 use fescuelock_upstreams::dispatch::{Answered, Assignment, Dispatch, Dispatcher};
+use fescuelock_upstreams::registry::Peer;
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
 use rand::Rng;
@@ -189,7 +192,7 @@
         assignment: &Assignment,
         tried: &mut Vec<String>,
         build: impl Fn() -> http::Result<Request<Body>>,
-        repeatable: Option<fescuelock_core::outcome::Repeatable>,
+        repeatable: Option<Repeatable>,
     ) -> Result<Box<Answered>, Failure> {
         let mut cause = UnknownCause::ConnectionLost;
         let mut refusal = Refusal::Unreachable(assignment.serving.clone());
@@ -248,11 +251,7 @@
     }
 
     /// Chooses the next upstream for a request.
-    fn place(
-        &self,
-        assignment: &Assignment,
-        tried: &[String],
-    ) -> Option<(String, Arc<fescuelock_upstreams::registry::Peer>)> {
+    fn place(&self, assignment: &Assignment, tried: &[String]) -> Option<(String, Arc<Peer>)> {
         let view = self.config.current();
         let bound = self.dispatcher.registry.bind(&view);
         let serving = view.find_serving(&assignment.serving)?;
@@ -310,11 +309,6 @@
     Box::new(Outcome::Unknown(unknown))
 }
 
-/// Wraps the proof that a request was not run.
-pub fn not_run(proof: NotRun) -> Failure {
-    Box::new(Outcome::NotRun(proof))
-}
-
 /// Tells whether an engine's status asks for another try.
 fn is_temporary(status: http::StatusCode) -> bool {
     matches!(status.as_u16(), 429 | 500 | 502 | 503 | 504)
