--- a/crates/fescuelock-core/src/outcome.rs
+++ b/crates/fescuelock-core/src/outcome.rs
@@ -32,8 +32,8 @@
 pub enum Progress {
     /// No byte of the request has been handed to an upstream.
     Unsent(Attempt<Unsent>),
-    /// The request was sent before and may be repeated.
-    Repeating(Attempt<Sent>),
+    /// The request was sent before without a usable answer and may be repeated.
+    Repeating(Attempt<Sent>, UnknownCause),
 }
 
 /// `ReturnedRequest` proves that a connection gave a request back without having written any of it.
@@ -113,8 +113,8 @@
 
 impl Attempt<Sent> {
     /// Prepares to send a repeatable request once more.
-    pub fn repeat(self, _repeatable: Repeatable) -> Progress {
-        Progress::Repeating(self)
+    pub fn repeat(self, _repeatable: Repeatable, cause: UnknownCause) -> Progress {
+        Progress::Repeating(self, cause)
     }
 }
 
@@ -123,7 +123,7 @@
     pub fn send(self, permit: &Permit) -> Attempt<Sent> {
         match self {
             Progress::Unsent(attempt) => attempt.send(permit),
-            Progress::Repeating(attempt) => attempt,
+            Progress::Repeating(attempt, _) => attempt,
         }
     }
 
@@ -135,10 +135,10 @@
     /// Ends a request that cannot be sent any further.
     ///
     /// A request that was sent before ends as unknown, whatever keeps it from being repeated.
-    pub fn end(self, refusal: Refusal, cause: UnknownCause) -> Outcome {
+    pub fn end(self, refusal: Refusal) -> Outcome {
         match self {
             Progress::Unsent(attempt) => Outcome::NotRun(attempt.refuse(refusal)),
-            Progress::Repeating(attempt) => Outcome::Unknown(attempt.unknown(cause)),
+            Progress::Repeating(attempt, cause) => Outcome::Unknown(attempt.unknown(cause)),
         }
     }
 }
--- a/crates/fescuelock-router/src/chat.rs
+++ b/crates/fescuelock-router/src/chat.rs
@@ -180,9 +180,9 @@
                 return Ok(response);
             }
 
-            Err(_) if tried.len() < path.options.attempts_max as usize => {
+            Err(cause) if tried.len() < path.options.attempts_max as usize => {
                 path.dispatcher.note_failure(in_flight.peer());
-                progress = attempt.repeat(Repeatable);
+                progress = attempt.repeat(Repeatable, cause);
             }
 
             Err(cause) => return Err(crate::path::unknown(attempt.unknown(cause))),
--- a/crates/fescuelock-router/src/path.rs
+++ b/crates/fescuelock-router/src/path.rs
@@ -194,7 +194,6 @@
         build: impl Fn() -> http::Result<Request<Body>>,
         repeatable: Option<Repeatable>,
     ) -> Result<Box<Answered>, Failure> {
-        let mut cause = UnknownCause::ConnectionLost;
         let mut refusal = Refusal::Unreachable(assignment.serving.clone());
         while tried.len() < self.options.attempts_max as usize {
             let Some((name, peer)) = self.place(assignment, tried) else {
@@ -207,17 +206,16 @@
             let request = match build() {
                 Ok(request) => request,
                 Err(error) => {
-                    return Err(Box::new(
-                        progress.end(Refusal::MalformedBody(error.to_string()), cause),
-                    ));
+                    let refusal = Refusal::MalformedBody(error.to_string());
+                    return Err(Box::new(progress.end(refusal)));
                 }
             };
             match self.dispatcher.send(progress, &peer, assignment, request).await {
                 Dispatch::Answered(answered) => match repeatable {
                     Some(repeatable) if is_temporary(answered.response.status()) => {
                         self.dispatcher.note_failure(&peer);
-                        cause = UnknownCause::AnswerInvalid;
-                        progress = answered.attempt.repeat(repeatable);
+                        let cause = UnknownCause::AnswerInvalid;
+                        progress = answered.attempt.repeat(repeatable, cause);
                     }
 
                     _ => return Ok(answered),
@@ -229,16 +227,13 @@
                     progress = unsent;
                     // Another upstream of the version may still take new work.
                     if !matches!(reason, Refusal::NoUpstream(_)) {
-                        return Err(Box::new(progress.end(reason, cause)));
+                        return Err(Box::new(progress.end(reason)));
                     }
                     refusal = reason;
                 }
 
                 Dispatch::Lost(sent, lost) => match repeatable {
-                    Some(repeatable) => {
-                        cause = lost;
-                        progress = sent.repeat(repeatable);
-                    }
+                    Some(repeatable) => progress = sent.repeat(repeatable, lost),
 
                     None => return Err(Box::new(Outcome::Unknown(sent.unknown(lost)))),
                 },
@@ -247,7 +242,7 @@
         if tried.is_empty() {
             refusal = Refusal::NoUpstream(assignment.serving.clone());
         }
-        Err(Box::new(progress.end(refusal, cause)))
+        Err(Box::new(progress.end(refusal)))
     }
 
     /// Chooses the next upstream for a request.
--- a/crates/fescuelock-router/src/relay.rs
+++ b/crates/fescuelock-router/src/relay.rs
@@ -61,14 +61,16 @@
 
                 Ending::Abandoned(usage) => return self.abandon(usage).await,
 
-                Ending::Cut(attempt, cause, done) => match self.resume(attempt, done).await {
-                    Some(next) => {
-                        reader.resume(self.plan.id, self.ids_of(&next));
-                        answered = next;
+                Ending::Cut(attempt, cause, done) => {
+                    match self.resume(attempt, cause, done).await {
+                        Some(next) => {
+                            reader.resume(self.plan.id, self.ids_of(&next));
+                            answered = next;
+                        }
+
+                        None => return self.fail(cause).await,
                     }
-
-                    None => return self.fail(cause).await,
-                },
+                }
             }
         }
     }
@@ -115,10 +117,15 @@
     }
 
     /// Asks another engine for the rest of the answer.
-    async fn resume(&mut self, attempt: Attempt<Sent>, done: Continuation) -> Option<Answered> {
+    async fn resume(
+        &mut self,
+        attempt: Attempt<Sent>,
+        cause: UnknownCause,
+        done: Continuation,
+    ) -> Option<Answered> {
         let continuation = (done.tokens > 0).then_some(&done);
         let build = || self.plan.request.to_http(continuation);
-        let progress = attempt.repeat(Repeatable);
+        let progress = attempt.repeat(Repeatable, cause);
         let assignment = &self.plan.assignment;
         let answered = self
             .path
--- a/crates/fescuelock-router/src/service.rs
+++ b/crates/fescuelock-router/src/service.rs
@@ -243,7 +243,7 @@
         path.dispatcher.note_failure(in_flight.peer());
         match call.repeatable {
             Some(repeatable) if tried.len() < path.options.attempts_max as usize => {
-                progress = attempt.repeat(repeatable);
+                progress = attempt.repeat(repeatable, cause);
             }
 
             _ => return Err(unknown(attempt.unknown(cause))),
