--- a/crates/fescuelock-core/tests/config.rs
+++ b/crates/fescuelock-core/tests/config.rs
@@ -4,6 +4,7 @@
 use fescuelock_core::ids::Generation;
 use fescuelock_core::rules::View;
 use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 
 fn view(generation: u64) -> View {
     View { generation: Generation(generation), ..View::default() }
@@ -28,6 +29,8 @@
 }
 
 proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(1), ..Config::default() })]
+
     #[test]
     fn any_order(generations in proptest::collection::vec(0u64..50, 1..100)) {
         let cell = ConfigCell::default();
--- a/crates/fescuelock-core/tests/patches.rs
+++ b/crates/fescuelock-core/tests/patches.rs
@@ -2,6 +2,7 @@
 
 use fescuelock_core::rules::Patch;
 use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 
 #[test]
 fn one_line() {
@@ -20,6 +21,8 @@
 }
 
 proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(1), ..Config::default() })]
+
     #[test]
     fn any_texts(old in "([ab]?\n?){0,12}", new in "([ab]?\n?){0,12}") {
         let patch = Patch::between(1, &old, 2, &new);
--- a/crates/fescuelock-core/tests/sessions.rs
+++ b/crates/fescuelock-core/tests/sessions.rs
@@ -4,6 +4,7 @@
 use fescuelock_core::ids::RequestId;
 use fescuelock_core::session::{Binding, SessionKeys, SigningKey};
 use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -40,6 +41,8 @@
 }
 
 proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(1), ..Config::default() })]
+
     #[test]
     fn altered_token(position in 0usize..100, letter in "[0-9a-f.]") {
         let token = keys(&["k"]).issue(&binding());
--- a/crates/fescuelock-load/tests/links.rs
+++ b/crates/fescuelock-load/tests/links.rs
@@ -19,6 +19,7 @@
 use fescuelock_router::node::Node;
 use fescuelock_standin::faults::PlatformFaults;
 use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 use tokio::time::{Instant, sleep};
 
 /// Time for links to open and tables to spread.
@@ -205,6 +206,8 @@
 }
 
 proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(1), ..Config::default() })]
+
     #[test]
     fn any_order(entries in proptest::collection::vec(any_member(), 0..40)) {
         let own = member(0, 1, MemberState::Alive);
