--- a/crates/fescuelock-load/tests/promises/system.rs
+++ b/crates/fescuelock-load/tests/promises/system.rs
@@ -6,7 +6,9 @@
 
 use fescuelock_load::caller::{Call, Chat};
 use fescuelock_load::cluster::ClusterOptions;
-use fescuelock_load::samples::{CHEAP_TEAM, CHEAP_VERSION, NEXT_VERSION, rule};
+use fescuelock_load::samples::{
+    CHEAP_TEAM, CHEAP_VERSION, NEXT_VERSION, SampleOptions, rule, rules,
+};
 use fescuelock_platform::bills::read_ledger;
 use fescuelock_standin::deployment::DeploymentOptions;
 use fescuelock_standin::engine::EngineOptions;
@@ -58,6 +60,7 @@
             .expect("the runtime starts");
         let bed = runtime.block_on(Bed::start_with(ClusterOptions {
             nodes: NODES,
+            rules: rules(&SampleOptions::default()).replace("percent=0", "percent=50"),
             deployment: DeploymentOptions {
                 engine: EngineOptions {
                     first_token_us: 20_000,
@@ -83,7 +86,7 @@
             sent: 0,
             withdrawn: false,
             zone_out: false,
-            rollout: 0,
+            rollout: 50,
         }
     }
 
--- a/crates/fescuelock-operators/src/main.rs
+++ b/crates/fescuelock-operators/src/main.rs
@@ -1,5 +1,6 @@
 //! `fescuelock`, the operators' command-line client.
 
+use std::io::Write as _;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -104,7 +105,8 @@
     };
     match runtime.block_on(run(arguments, form)) {
         Ok(text) => {
-            println!("{text}");
+            // A reader that has gone, such as `head`, is no failure of the command.
+            let _ = writeln!(std::io::stdout(), "{text}");
             ExitCode::SUCCESS
         }
 
