workspace: Remove what no one calls and what stood twice

Cause: a read of the whole change. Three public functions and the count of held bills had no caller; the roll-out line of the sample rules was built in demo, replace, config and two tests; a cached shard of claims kept its encoded body, of which only the version is read, so each cached shard stood in memory twice. Change: the dead code is gone, samples::with_rollout serves all five, and the cache keeps the version. Tried and reverted: one graceful loop for both HTTP versions by hyper-util's trait; the compiler cannot prove its future Send. Conclusion: behaviour is as it was.

--- a/crates/fescuelock-core/src/rules/view.rs
+++ b/crates/fescuelock-core/src/rules/view.rs
@@ -234,14 +234,6 @@
         }
     }
 
-    /// Returns the name by which [`View::find_serving`] finds a version or service.
-    pub fn serving_name(&self, serving: Serving) -> String {
-        match serving {
-            Serving::Version(version) => self.versions.at(version).name.clone(),
-            Serving::Service(service) => format!("service:{}", self.services.at(service).name),
-        }
-    }
-
     /// Tells whether an upstream may take new work.
     pub fn is_live(&self, key: UpstreamKey) -> bool {
         let upstream = self.upstreams.at(key);
--- a/crates/fescuelock-http/src/errors.rs
+++ b/crates/fescuelock-http/src/errors.rs
@@ -49,16 +49,3 @@
 
 /// `Result` is the result type of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
-
-impl Error {
-    /// Tells whether the error proves that no byte of the request was written.
-    pub fn proves_no_send(&self) -> bool {
-        matches!(
-            self,
-            Error::Connect { .. }
-                | Error::ConnectTimeout { .. }
-                | Error::NotSent
-                | Error::InvalidRequest(_)
-        )
-    }
-}
--- a/crates/fescuelock-load/src/cluster.rs
+++ b/crates/fescuelock-load/src/cluster.rs
@@ -188,11 +188,6 @@
         Ok(Node::start(settings, environment).await?)
     }
 
-    /// Puts a node that was booted into the place of another.
-    pub fn put_node(&mut self, index: usize, node: Node<Running>) {
-        self.nodes[index] = Some(node);
-    }
-
     /// Ends a node at once.
     pub fn kill_node(&mut self, index: usize) {
         if let Some(node) = self.nodes[index].take() {
--- a/crates/fescuelock-load/src/demo.rs
+++ b/crates/fescuelock-load/src/demo.rs
@@ -9,8 +9,8 @@
 use crate::caller::{Call, Caller, Chat, Reply};
 use crate::cluster::{Cluster, ClusterOptions};
 use crate::samples::{
-    CHEAP_TEAM, CHEAP_VERSION, GOOD_TEAM, NARROW_TEAM, NEXT_VERSION, SampleOptions, key_of, rule,
-    rules,
+    CHEAP_TEAM, GOOD_TEAM, NARROW_TEAM, NEXT_VERSION, SampleOptions, key_of, rule, rules,
+    with_rollout,
 };
 
 /// Requests of each kind that the demonstration sends.
@@ -35,9 +35,7 @@
     bookings(&cluster).await;
 
     println!("\nA roll-out: half of the cheap requests go to {NEXT_VERSION}.");
-    let started = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent=50");
-    let ended = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent=0");
-    let applied = cluster.edit(|text| text.replace(&ended, &started)).await?;
+    let applied = cluster.edit(|text| with_rollout(text, 50)).await?;
     println!("{}", commands::describe_applied(&applied, Form::Text));
     cluster.in_force(applied.generation).await;
     let session = start_session(&cluster).await;
--- a/crates/fescuelock-load/src/experiments/config.rs
+++ b/crates/fescuelock-load/src/experiments/config.rs
@@ -16,7 +16,7 @@
 use crate::cluster::{Cluster, ClusterOptions};
 use crate::experiments::ExperimentOptions;
 use crate::experiments::traffic::{Directory, Record, rng, runtime};
-use crate::samples::{CHEAP_TEAM, CHEAP_VERSION, NEXT_VERSION, SampleOptions, rule, rules};
+use crate::samples::{CHEAP_TEAM, NEXT_VERSION, SampleOptions, rule, rules, with_rollout};
 
 /// Nodes of the deployment, as many as a deployment has today.
 const NODES: usize = 9;
@@ -75,11 +75,9 @@
 
 async fn measure(options: &ExperimentOptions) -> Result<Value> {
     let sample = SampleOptions { first_port: FIRST_PORT, ..SampleOptions::default() };
-    let from_zero = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent=0");
-    let to_half = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent=50");
     let cluster = Cluster::start(ClusterOptions {
         nodes: NODES,
-        rules: rules(&sample).replace(&from_zero, &to_half),
+        rules: with_rollout(&rules(&sample), 50),
         seed: options.seed,
         ..ClusterOptions::default()
     })
--- a/crates/fescuelock-load/src/experiments/replace.rs
+++ b/crates/fescuelock-load/src/experiments/replace.rs
@@ -15,7 +15,7 @@
 use crate::cluster::{Cluster, ClusterOptions};
 use crate::experiments::ExperimentOptions;
 use crate::experiments::traffic::{Directory, Record, rng, runtime};
-use crate::samples::{CHEAP_TEAM, CHEAP_VERSION, NEXT_VERSION, SampleOptions, rules};
+use crate::samples::{CHEAP_TEAM, SampleOptions, rules, with_rollout};
 
 /// Nodes of the deployment, as many as a deployment has today.
 const NODES: usize = 9;
@@ -41,11 +41,9 @@
 
 async fn measure(options: &ExperimentOptions) -> Result<Value> {
     let sample = SampleOptions { first_port: FIRST_PORT, ..SampleOptions::default() };
-    let from_zero = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent=0");
-    let to_half = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent=50");
     let mut cluster = Cluster::start(ClusterOptions {
         nodes: NODES,
-        rules: rules(&sample).replace(&from_zero, &to_half),
+        rules: with_rollout(&rules(&sample), 50),
         seed: options.seed,
         deployment: DeploymentOptions {
             engine: EngineOptions {
@@ -76,8 +74,7 @@
         cluster.start_node(node).await?;
         directory.update(&cluster);
         let percent = [0, 50, 100][node % 3];
-        let share = format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent={percent} ");
-        cluster.edit(|text| with_share(text, &share)).await?;
+        cluster.edit(|text| with_rollout(text, percent)).await?;
         sleep(pause).await;
         if let Some(Ok(drained)) = match draining {
             Some(draining) => Some(draining.await),
@@ -131,16 +128,6 @@
     Ok(report)
 }
 
-/// Replaces the roll-out rule of a text.
-fn with_share(text: &str, share: &str) -> String {
-    text.lines()
-        .map(|line| match line.starts_with("rollout ") {
-            true => format!("{share} # asked by the load tool: experiment\n"),
-            false => format!("{line}\n"),
-        })
-        .collect()
-}
-
 /// Holds sessions of a few turns each.
 async fn talk(directory: Directory, record: Record<Turn>, seed: u64, caller: u64) {
     let mut rng = rng(seed, caller);
--- a/crates/fescuelock-load/src/samples.rs
+++ b/crates/fescuelock-load/src/samples.rs
@@ -126,6 +126,17 @@
     text
 }
 
+/// Sets the share of the next version in a rules text.
+pub fn with_rollout(text: &str, percent: u32) -> String {
+    let share = rule(&format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent={percent}"));
+    text.lines()
+        .map(|line| match line.starts_with("rollout ") {
+            true => share.clone(),
+            false => format!("{line}\n"),
+        })
+        .collect()
+}
+
 /// Writes a rule with its comment, for [`SampleOptions::extra`] or an edit.
 pub fn rule(text: &str) -> String {
     format!("{text}  # asked by the load tool: experiment\n")
--- a/crates/fescuelock-load/tests/promises/system.rs
+++ b/crates/fescuelock-load/tests/promises/system.rs
@@ -7,7 +7,7 @@
 use fescuelock_load::caller::{Call, Chat};
 use fescuelock_load::cluster::ClusterOptions;
 use fescuelock_load::samples::{
-    CHEAP_TEAM, CHEAP_VERSION, NEXT_VERSION, SampleOptions, rule, rules,
+    CHEAP_TEAM, CHEAP_VERSION, NEXT_VERSION, SampleOptions, rule, rules, with_rollout,
 };
 use fescuelock_platform::bills::read_ledger;
 use fescuelock_standin::deployment::DeploymentOptions;
@@ -60,7 +60,7 @@
             .expect("the runtime starts");
         let bed = runtime.block_on(Bed::start_with(ClusterOptions {
             nodes: NODES,
-            rules: rules(&SampleOptions::default()).replace("percent=0", "percent=50"),
+            rules: with_rollout(&rules(&SampleOptions::default()), 50),
             deployment: DeploymentOptions {
                 engine: EngineOptions {
                     first_token_us: 20_000,
--- a/crates/fescuelock-load/tests/sessions.rs
+++ b/crates/fescuelock-load/tests/sessions.rs
@@ -4,11 +4,9 @@
 
 use common::Bed;
 use fescuelock_load::caller::Chat;
-use fescuelock_load::samples::{CHEAP_TEAM, CHEAP_VERSION, GOOD_TEAM, NEXT_VERSION, rule};
-
-fn rollout(percent: u32) -> String {
-    format!("rollout {NEXT_VERSION} from={CHEAP_VERSION} percent={percent} ")
-}
+use fescuelock_load::samples::{
+    CHEAP_TEAM, CHEAP_VERSION, GOOD_TEAM, NEXT_VERSION, rule, with_rollout,
+};
 
 fn chat(session: &str, index: usize) -> Chat {
     Chat {
@@ -26,7 +24,7 @@
     let session = first.session.clone().expect("a session is given");
     assert_eq!(first.version, CHEAP_VERSION);
 
-    bed.edit(|text| text.replace(&rollout(0), &rollout(100))).await;
+    bed.edit(|text| with_rollout(text, 100)).await;
     let fresh = bed.caller(0, CHEAP_TEAM).chat(&chat("new", 1)).await;
     assert_eq!(fresh.version, NEXT_VERSION);
     // Every node is replaced one after the other.
--- a/crates/fescuelock-nodes/src/held.rs
+++ b/crates/fescuelock-nodes/src/held.rs
@@ -68,14 +68,4 @@
             .flat_map(|origin| origin.bills.into_values())
             .collect()
     }
-
-    /// Returns the number of bills that are held.
-    pub fn len(&self) -> usize {
-        self.origins.values().map(|origin| origin.bills.len()).sum()
-    }
-
-    /// Tells whether no bill is held.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
 }
--- a/crates/fescuelock-platform/src/claims.rs
+++ b/crates/fescuelock-platform/src/claims.rs
@@ -19,7 +19,7 @@
 use crate::availability::Availability;
 use crate::bills::Recorder;
 use crate::claim_record::{ClaimRecord, Operation, Shard, StoredResult, Verdict};
-use crate::objects::{Condition, Object, SharedStore};
+use crate::objects::{Condition, ObjectVersion, SharedStore};
 use crate::{Error, Result};
 
 /// Prefix of the objects that hold claims.
@@ -283,9 +283,8 @@
 }
 
 /// `Cached` is a shard as it was last read or written.
-#[derive(Clone)]
 struct Cached {
-    object: Option<Object>,
+    version: Option<ObjectVersion>,
     shard: Shard,
 }
 
@@ -362,11 +361,10 @@
         if changed {
             let body = serde_json::to_vec(&current.shard)
                 .map_err(|error| Error::Malformed(error.to_string()))?;
-            let condition = Condition::unchanged(current.object.as_ref());
-            let body = bytes::Bytes::from(body);
+            let condition = Condition::at(current.version);
             batch.iter_mut().for_each(|request| request.is_written = true);
-            let version = self.inner.store.put(&self.object, body.clone(), condition).await?;
-            current.object = Some(Object { body, version });
+            let version = self.inner.store.put(&self.object, body.into(), condition).await?;
+            current.version = Some(version);
         } else if was_cached {
             // Nothing proves that the cached shard is current: read it and decide anew.
             return Err(Error::Conflict);
@@ -386,7 +384,7 @@
                 .map_err(|error| Error::Malformed(error.to_string()))?,
             None => Shard::default(),
         };
-        Ok(Cached { object, shard })
+        Ok(Cached { version: object.map(|object| object.version), shard })
     }
 }
 
--- a/crates/fescuelock-platform/src/objects.rs
+++ b/crates/fescuelock-platform/src/objects.rs
@@ -41,7 +41,12 @@
 impl Condition {
     /// Returns the condition that an object is as it was read.
     pub fn unchanged(object: Option<&Object>) -> Self {
-        object.map_or(Condition::Absent, |object| Condition::Matches(object.version))
+        Condition::at(object.map(|object| object.version))
+    }
+
+    /// Returns the condition that an object is at a version, or absent.
+    pub fn at(version: Option<ObjectVersion>) -> Self {
+        version.map_or(Condition::Absent, Condition::Matches)
     }
 }
 
