policy: Let changes gather for longer while they go on

Pauses now double up to a quarter of the time within which changes must be in force.

Ruled out: stale reads for the first lists, which are 4 of 79 calls a node; one reader for several nodes, which would make them depend on it.

Replays: tests/gathering.rs.

--- a/crates/fescuelock-gateway/src/follow.rs
+++ b/crates/fescuelock-gateway/src/follow.rs
@@ -7,6 +7,7 @@
 
 use fescuelock_core::counters::Counter;
 use fescuelock_platform::{configuration, orders, records};
+use fescuelock_policy::gathering::Gathering;
 use fescuelock_store::Error as StoreError;
 use fescuelock_store::resources::{Collection, Event, Listing, Resource, SharedResources};
 use slog::{info, warn};
@@ -18,10 +19,6 @@
 /// connections that fall silent are noticed by their keep-alive probes.
 const WATCH_WAIT_MS: u64 = 25_000;
 
-/// Pause after changes, in milliseconds, so that further ones that come with them, as when many
-/// upstreams start, cost one call together. It is a small part of the bounds on taking changes.
-const GATHER_MS: u64 = 150;
-
 /// Shortest and longest pause after a failed call, in milliseconds.
 ///
 /// With the time that upstreams have to write their records again, the longest stays below the time
@@ -65,12 +62,13 @@
     /// Follows the collection until the task is dropped.
     pub async fn run(self) {
         let mut outage = Outage::default();
+        let mut gathering = Gathering::default();
         let mut revision = None;
         let mut failures = 0;
         loop {
             let followed = match revision {
                 None => self.list(&mut outage).await,
-                Some(after) => self.watch(after, &mut outage).await,
+                Some(after) => self.watch(after, &mut outage, &mut gathering).await,
             };
             match followed {
                 Ok(next) => {
@@ -103,7 +101,12 @@
         Ok(revision)
     }
 
-    async fn watch(&self, after: u64, outage: &mut Outage) -> Result<u64, StoreError> {
+    async fn watch(
+        &self,
+        after: u64,
+        outage: &mut Outage,
+        gathering: &mut Gathering,
+    ) -> Result<u64, StoreError> {
         // After a failure a short wait shows soon that the store answers again.
         let wait_ms = if outage.since.is_some() { 0 } else { WATCH_WAIT_MS };
         let changes = self.store.watch(self.collection, after, wait_ms).await?;
@@ -116,7 +119,9 @@
             }
         }
         if has_changed {
-            sleep(Duration::from_millis(GATHER_MS)).await;
+            let in_force_ms = self.beliefs.bounds().in_force_ms();
+            let pause_ms = gathering.pause_ms(in_force_ms, self.beliefs.now_ms());
+            sleep(Duration::from_millis(pause_ms)).await;
         }
         Ok(changes.revision.max(after))
     }
--- a/crates/fescuelock-policy/src/lib.rs
+++ b/crates/fescuelock-policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod deployment;
 pub mod escalation;
+pub mod gathering;
 pub mod health;
 pub mod node;
 pub mod permits;
--- a/crates/fescuelock-policy/src/node.rs
+++ b/crates/fescuelock-policy/src/node.rs
@@ -50,6 +50,12 @@
 pub struct Bounds {
     /// Time from the stop signal to the kill, in milliseconds. Defaults to 8,000.
     pub grace_ms: u64,
+    /// Time from a change of the configuration until it must be in force, in milliseconds. Defaults
+    /// to 2,000.
+    pub config_ms: u64,
+    /// Time from the record of an upstream's leaving until it must get nothing more, in
+    /// milliseconds. Defaults to 2,000.
+    pub drain_ms: u64,
     /// Window of the retry bound, in milliseconds. Defaults to 10,000.
     pub retry_window_ms: u64,
     /// Extra sends per request that the fleet may make. Defaults to 0.9.
@@ -74,6 +80,8 @@
     fn default() -> Self {
         Bounds {
             grace_ms: 8_000,
+            config_ms: 2_000,
+            drain_ms: 2_000,
             retry_window_ms: 10_000,
             retry_ratio: 0.9,
             retry_extra: 50.0,
@@ -87,6 +95,11 @@
 }
 
 impl Bounds {
+    /// Returns the time within which any change in the store must be in force, in milliseconds.
+    pub fn in_force_ms(&self) -> u64 {
+        self.config_ms.min(self.drain_ms)
+    }
+
     /// Returns the fleet's bound on extra sends.
     pub fn retries(&self) -> RetryBound {
         RetryBound {
--- /dev/null
+++ b/crates/fescuelock-policy/tests/gathering.rs
@@ -0,0 +1,48 @@
+//! Changes that come together cost few calls, and none waits for long.
+
+use fescuelock_policy::gathering::Gathering;
+
+/// Time within which changes must be in force, in milliseconds.
+const IN_FORCE_MS: u64 = 2_000;
+
+/// Returns the times at which changes are read, for changes made at the given times, in
+/// milliseconds.
+fn replay(changes_ms: &[u64]) -> Vec<u64> {
+    let mut gathering = Gathering::default();
+    let mut reads_ms = Vec::new();
+    let mut free_at_ms = 0;
+    for &changed_ms in changes_ms {
+        if reads_ms.last().is_some_and(|read_ms| changed_ms <= *read_ms) {
+            continue;
+        }
+        let read_ms = changed_ms.max(free_at_ms);
+        reads_ms.push(read_ms);
+        free_at_ms = read_ms + gathering.pause_ms(IN_FORCE_MS, read_ms);
+    }
+    reads_ms
+}
+
+#[test]
+fn start_of_fleet() {
+    // 65 upstreams register over four seconds.
+    let changes_ms: Vec<u64> = (0..65).map(|index| index * 62).collect();
+    let reads_ms = replay(&changes_ms);
+    assert!(reads_ms.len() <= 11, "{reads_ms:?}");
+}
+
+#[test]
+fn single_change() {
+    assert_eq!(replay(&[1_000, 9_000, 30_000]), [1_000, 9_000, 30_000]);
+}
+
+#[test]
+fn wait_bounded() {
+    // Changes without end: each is read within a quarter of the time in which it must be in force.
+    let changes_ms: Vec<u64> = (0..2_000).map(|index| index * 10).collect();
+    let reads_ms = replay(&changes_ms);
+    for changed_ms in changes_ms {
+        let read_ms = reads_ms.iter().find(|read_ms| **read_ms >= changed_ms);
+        let waited_ms = read_ms.map_or(0, |read_ms| read_ms - changed_ms);
+        assert!(waited_ms <= IN_FORCE_MS / 4, "{waited_ms}");
+    }
+}
