gateway: Leave idle upstreams out of reports

Cause: a report named every upstream that a node had ever used, so reports grew with the fleet. Cumulative counts of upstreams that a report leaves out are kept by the receiver.

Tests: gateway reports.rs.

--- a/crates/fescuelock-gateway/src/fleet.rs
+++ b/crates/fescuelock-gateway/src/fleet.rs
@@ -284,18 +284,26 @@
 
     /// Takes another node's report of its load and outcomes.
     pub fn take_report(&mut self, node: &str, loads: HashMap<u64, PeerLoad>, now_ms: u64) {
-        let earlier = self.reports.remove(node).unwrap_or_default();
+        let earlier = self.reports.remove(node);
         for member in self.members.values_mut() {
             let Some(load) = loads.get(&member.hash) else {
                 continue;
             };
-            let before = earlier.loads.get(&member.hash).copied().unwrap_or(*load);
+            // Nothing is known of what a node counted before its first report.
+            let before = earlier.as_ref().map_or(*load, |earlier| {
+                earlier.loads.get(&member.hash).copied().unwrap_or_default()
+            });
             let answered = f64::from(load.answered.saturating_sub(before.answered));
             let failed = f64::from(load.failed.saturating_sub(before.failed));
             member.health.note(Outcome::Answered, answered * REPORTED_WEIGHT, now_ms);
             member.health.note(Outcome::Failed, failed * REPORTED_WEIGHT, now_ms);
         }
-        self.reports.insert(node.to_owned(), PeerReport { received_ms: now_ms, loads });
+        // Upstreams that a report leaves out are idle, and their counts are as they were.
+        let mut merged = earlier.unwrap_or_default().loads;
+        merged.values_mut().for_each(|peer| peer.load = Load::default());
+        merged.extend(loads);
+        let report = PeerReport { received_ms: now_ms, loads: merged };
+        self.reports.insert(node.to_owned(), report);
         self.add_up(now_ms);
     }
 
@@ -314,12 +322,12 @@
         }
     }
 
-    /// Returns this node's loads and outcomes, for the other nodes.
+    /// Returns this node's loads and late outcomes, for the other nodes.
     pub fn own_report(&mut self, now_ms: u64) -> Vec<(u64, PeerLoad)> {
         let report = self.members.values_mut().filter_map(|member| {
             let load = member.own_load(now_ms);
             let (answered, failed) = member.outcomes;
-            let is_active = load.in_flight > 0 || answered + failed > 0;
+            let is_active = load.in_flight > 0 || member.has_news(now_ms);
             is_active.then_some((member.hash, PeerLoad { load, answered, failed }))
         });
         report.collect()
@@ -478,6 +486,7 @@
             Outcome::Answered => member.outcomes.0 += 1,
             Outcome::Failed | Outcome::Silent => member.outcomes.1 += 1,
         }
+        member.outcome_ms = now_ms;
         if outcome == Outcome::Silent {
             let cold_until_ms = now_ms + warmup_ms + SILENT_COLD_MS;
             member.cold_until_ms = member.cold_until_ms.max(cold_until_ms);
--- a/crates/fescuelock-gateway/src/member.rs
+++ b/crates/fescuelock-gateway/src/member.rs
@@ -34,6 +34,10 @@
 /// Parts remembered of one engine. Older ones are forgotten together.
 const CACHED_PARTS_MAX: usize = 2_000;
 
+/// Time for which outcomes are reported again, in milliseconds. In a large fleet a report reaches a
+/// part of the nodes; within this time most have got one.
+const NEWS_MS: u64 = 3_000;
+
 /// Weight of an answer in the mean latency of a plain service's upstream.
 const LATENCY_WEIGHT: f64 = 0.15;
 
@@ -84,6 +88,8 @@
     pub slowness: f64,
     /// Answers and failures that this node has seen, for the other nodes.
     pub outcomes: (u32, u32),
+    /// Time of the last of them, in milliseconds.
+    pub outcome_ms: u64,
     /// Connections.
     pub connections: Arc<Pool>,
     cached: HashMap<(u64, u64), u64>,
@@ -114,6 +120,7 @@
             latency_ms: LATENCY_DEFAULT_MS,
             slowness: 1.0,
             outcomes: (0, 0),
+            outcome_ms: 0,
             connections,
             cached: HashMap::new(),
         }
@@ -150,6 +157,11 @@
         self.others = others;
     }
 
+    /// Tells whether there are outcomes that other nodes may not have heard of.
+    pub fn has_news(&self, now_ms: u64) -> bool {
+        self.outcomes != (0, 0) && now_ms.saturating_sub(self.outcome_ms) < NEWS_MS
+    }
+
     /// Counts an own request that takes the given engine time, in milliseconds.
     pub fn add_request(&mut self, engine_ms: f64, now_ms: u64) {
         self.spend(now_ms);
--- /dev/null
+++ b/crates/fescuelock-gateway/tests/reports.rs
@@ -0,0 +1,75 @@
+//! What nodes tell each other of upstreams.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use fescuelock_core::rules::Steering;
+use fescuelock_gateway::fleet::{Fleet, PeerLoad};
+use fescuelock_gateway::member::{Load, MemberKey};
+use fescuelock_policy::health::Outcome;
+use fescuelock_policy::node::NodeSettings;
+use fescuelock_policy::placement::hash_name;
+use fescuelock_policy::upstream::{UpstreamRecord, UpstreamState};
+use fescuelock_standin::memory::MemoryNetwork;
+
+fn fleet(upstreams: u64) -> Fleet {
+    let network = Arc::new(MemoryNetwork::default());
+    let settings = NodeSettings { name: "edge-1".to_owned(), ..NodeSettings::default() };
+    let mut fleet = Fleet::new(network, &settings, Steering::default(), 1);
+    for index in 0..upstreams {
+        fleet.upsert(record(index), true, 0, 0);
+    }
+    fleet
+}
+
+fn record(index: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        id: format!("i-{index}"),
+        pool: "engines".to_owned(),
+        address: format!("10.2.0.{index}:80"),
+        zone: "zone-a".to_owned(),
+        version: "v1".to_owned(),
+        slots: 8,
+        state: UpstreamState::Ready,
+        cold_left_ms: 0,
+        started_at_ms: None,
+    }
+}
+
+fn counted(answered: u32, failed: u32) -> PeerLoad {
+    PeerLoad { load: Load { in_flight: 3, queue_ms: 200.0 }, answered, failed }
+}
+
+#[test]
+fn idle_left_out() {
+    // Each of many upstreams was used once; only the one used lately is news.
+    let mut fleet = fleet(140);
+    for index in 1..=140 {
+        fleet.note_outcome(MemberKey(index), Outcome::Answered, 0, 10 * index);
+    }
+    fleet.note_outcome(MemberKey(7), Outcome::Answered, 0, 20_000);
+    let report = fleet.own_report(21_000);
+    assert_eq!(report.len(), 1);
+    assert_eq!((report[0].1.answered, report[0].1.failed), (2, 0));
+    assert!(fleet.own_report(60_000).is_empty());
+}
+
+#[test]
+fn counts_survive_gaps() {
+    let mut fleet = fleet(2);
+    let (first, second) = (hash_name("i-0"), hash_name("i-1"));
+    fleet.take_report("edge-2", HashMap::from([(first, counted(100, 0))]), 1_000);
+    // What a node had counted before its first report says nothing of now.
+    assert_eq!(weight(&fleet, 1), 0.0);
+    fleet.take_report("edge-2", HashMap::from([(second, counted(6, 0))]), 1_100);
+    assert_eq!(fleet.member(MemberKey(1)).unwrap().in_flight(), 0, "left out means idle");
+    assert!(weight(&fleet, 2) > 2.9, "an upstream that was not used before counts from 0");
+    fleet.take_report("edge-2", HashMap::from([(first, counted(104, 4))]), 1_200);
+    let (share, weight) = fleet.member(MemberKey(1)).unwrap().health.failure_share();
+    assert!(weight > 3.9 && weight <= 4.0, "{weight}");
+    assert!((share - 0.5).abs() < 0.01, "{share}");
+}
+
+fn weight(fleet: &Fleet, key: u64) -> f64 {
+    fleet.member(MemberKey(key)).expect("the member is known").health.failure_share().1
+}
