gateway: Let one follower probe the store in an outage

Ruled out: longer pauses, which would leave less time to learn who has left after a rejection of this node alone. The follower of upstreams keeps its pauses; the others wait for its first answer, at most 5 s, since the store may refuse one kind of call and serve another.

--- a/crates/fescuelock-gateway/src/beliefs.rs
+++ b/crates/fescuelock-gateway/src/beliefs.rs
@@ -17,6 +17,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -59,6 +60,8 @@
     pub in_flight: Arc<AtomicU64>,
     /// Collections whose last call of the store failed.
     pub failing: AtomicUsize,
+    /// Whether the follower that probes the store in an outage has got its last answer.
+    pub probe_answers: watch::Sender<bool>,
     /// Time of the last report of another node that reaches the store, in milliseconds.
     pub others_reached_ms: AtomicU64,
     /// Whether the upstreams have been listed.
@@ -102,6 +105,7 @@
             waiting: AtomicUsize::new(0),
             in_flight: Arc::default(),
             failing: AtomicUsize::new(0),
+            probe_answers: watch::Sender::new(true),
             others_reached_ms: AtomicU64::new(0),
             has_upstreams: AtomicBool::new(false),
             deployment: Mutex::default(),
--- a/crates/fescuelock-gateway/src/follow.rs
+++ b/crates/fescuelock-gateway/src/follow.rs
@@ -11,7 +11,7 @@
 use fescuelock_store::Error as StoreError;
 use fescuelock_store::resources::{Collection, Event, Listing, Resource, SharedResources};
 use slog::{info, warn};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::beliefs::Beliefs;
 
@@ -25,6 +25,14 @@
 /// after which a node that was turned away must know who has left.
 const RETRY_MS: (u64, u64) = (100, 700);
 
+/// Collection whose follower probes the store in an outage. The others wait until it gets an
+/// answer, so that an outage costs a node one call at a time.
+const PROBING: Collection = Collection::Upstreams;
+
+/// Longest wait for the probe before another follower tries by itself, in milliseconds. The store
+/// may refuse one kind of call and serve another.
+const PROBE_WAIT_MS: u64 = 5_000;
+
 /// Length of an outage from which records of upstreams may have lapsed, in milliseconds.
 const LAPSE_MIN_MS: u64 = 1_500;
 
@@ -87,6 +95,7 @@
                     let pause_ms = RETRY_MS.0.saturating_mul(1 << failures.min(8)).min(RETRY_MS.1);
                     let jitter = 0.5 + self.beliefs.draw();
                     sleep(Duration::from_millis((pause_ms as f64 * jitter) as u64)).await;
+                    self.await_probe().await;
                     failures += 1;
                 }
             }
@@ -126,11 +135,25 @@
         Ok(changes.revision.max(after))
     }
 
+    /// Waits while the follower that probes the store gets no answer.
+    async fn await_probe(&self) {
+        if self.collection == PROBING {
+            return;
+        }
+        let mut answers = self.beliefs.probe_answers.subscribe();
+        let answered = answers.wait_for(|answers| *answers);
+        // Without an answer in time this follower tries by itself.
+        let _ = timeout(Duration::from_millis(PROBE_WAIT_MS), answered).await;
+    }
+
     fn note_failure(&self, outage: &mut Outage, error: &StoreError) {
         let lasted = outage.since.map(|since| since.elapsed()).unwrap_or_default();
         // Nodes notice a silent outage some time after each other.
         outage.is_own |= lasted >= Duration::from_millis(OTHERS_KNOW_MS)
             && self.beliefs.others_reach_store(OTHERS_FRESH_MS);
+        if self.collection == PROBING {
+            self.beliefs.probe_answers.send_replace(false);
+        }
         if outage.since.is_none() {
             outage.since = Some(Instant::now());
             outage.is_own = false;
@@ -141,6 +164,9 @@
     }
 
     fn note_answer(&self, outage: &mut Outage) {
+        if self.collection == PROBING {
+            self.beliefs.probe_answers.send_replace(true);
+        }
         let Some(since) = outage.since.take() else {
             return;
         };
