--- a/crates/fescuelock-load/tests/documents.rs
+++ b/crates/fescuelock-load/tests/documents.rs
@@ -59,10 +59,11 @@
 /// Returns the sources that log on the platform.
 fn logging_sources() -> String {
     let crates = concat!(env!("CARGO_MANIFEST_DIR"), "/..");
-    let files = std::fs::read_dir(format!("{crates}/fescuelock-gateway/src")).unwrap();
-    let mut paths: Vec<_> = files.map(|file| file.unwrap().path()).collect();
+    let files = std::fs::read_dir(format!("{crates}/fescuelock-gateway/src"))
+        .expect("the sources are there");
+    let mut paths: Vec<_> = files.map(|file| file.expect("the entry is readable").path()).collect();
     paths.push(format!("{crates}/fescuelock-router/src/hosted.rs").into());
-    paths.iter().map(|path| std::fs::read_to_string(path).unwrap()).collect()
+    paths.iter().map(|path| std::fs::read_to_string(path).expect("the source is text")).collect()
 }
 
 #[test]
