--- a/crates/fescuelock-gateway/src/follow.rs
+++ b/crates/fescuelock-gateway/src/follow.rs
@@ -17,7 +17,11 @@
 
 /// Longest wait of one watch, in milliseconds. Each watch is one call, so long ones are cheap;
 /// connections that fall silent are noticed by their keep-alive probes.
-const WATCH_WAIT_MS: u64 = 25_000;
+const WATCH_WAIT_MAX_MS: u64 = 25_000;
+
+/// Share of the store's history that one watch may wait for. A watch that waits for longer than the
+/// history reaches back ends with a loss of history, and costs a listing.
+const WATCH_HISTORY_SHARE: f64 = 0.8;
 
 /// Shortest and longest pause after a failed call, in milliseconds.
 ///
@@ -119,7 +123,11 @@
         gathering: &mut Gathering,
     ) -> Result<u64, StoreError> {
         // After a failure a short wait shows soon that the store answers again.
-        let wait_ms = if outage.since.is_some() { 0 } else { WATCH_WAIT_MS };
+        let history_ms = self.beliefs.bounds().history_ms as f64 * WATCH_HISTORY_SHARE;
+        let wait_ms = match outage.since {
+            Some(_) => 0,
+            None => WATCH_WAIT_MAX_MS.min(history_ms as u64),
+        };
         let changes = self.store.watch(self.collection, after, wait_ms).await?;
         self.note_answer(outage);
         let has_changed = !changes.events.is_empty();
--- a/crates/fescuelock-gateway/src/log.rs
+++ b/crates/fescuelock-gateway/src/log.rs
@@ -18,10 +18,6 @@
 /// Interval at which lines are written, in milliseconds. Writing in batches saves system calls.
 const WRITE_INTERVAL_MS: u64 = 200;
 
-/// Time for which a kind of line may exceed its rate after a quiet time, in seconds: a fleet's start
-/// or a fault's first moments.
-const BURST_S: f64 = 10.0;
-
 /// Tag of the line at the end of a request.
 pub const TAG_ENDED: &str = "ended";
 /// Tag of the decisions about a request that failed, was late or was refused.
@@ -55,13 +51,24 @@
     }
 
     /// Returns the lines a second that are written. A small VM serves up to some tens of requests a
-    /// second; all kinds together come to about 100 KB a second.
+    /// second; all kinds together come to about 40 KB a second, which collectors of logs take.
     fn per_s(self) -> f64 {
         match self {
-            Kind::Ended => 100.0,
-            Kind::Detail => 150.0,
+            Kind::Ended => 60.0,
+            Kind::Detail => 50.0,
+            Kind::Sample => 5.0,
+            Kind::Belief => 20.0,
+        }
+    }
+
+    /// Returns the lines that are written at once after a quiet time: a second's worth of requests,
+    /// and what a node learns of a large fleet at its start.
+    fn burst(self) -> f64 {
+        match self {
+            Kind::Ended | Kind::Detail => self.per_s(),
+            // All decisions about a few requests that end together.
             Kind::Sample => 20.0,
-            Kind::Belief => 100.0,
+            Kind::Belief => 300.0,
         }
     }
 }
@@ -181,7 +188,7 @@
     /// Takes a line of a kind from its budget, or counts it as left out.
     fn take_budget(&self, kind: Kind) -> bool {
         let now = Instant::now();
-        let burst = BURST_S * kind.per_s();
+        let burst = kind.burst();
         let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
         let budget =
             buffer.budgets[kind as usize].get_or_insert(Budget { left: burst, updated: now });
--- a/crates/fescuelock-gateway/tests/logs.rs
+++ b/crates/fescuelock-gateway/tests/logs.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 /// Bound on the log of a node under any load, as the operators' page states it, in bytes a second.
-const BOUND_BYTES_PER_S: usize = 120_000;
+const BOUND_BYTES_PER_S: usize = 45_000;
 
 /// `Blocked` is an output whose reader does not read.
 struct Blocked;
--- a/crates/fescuelock-operators/src/explain.rs
+++ b/crates/fescuelock-operators/src/explain.rs
@@ -34,7 +34,7 @@
 /// `Belief` is what a node last logged of something that a request depended on.
 #[derive(Debug, Clone, Serialize)]
 pub struct Belief {
-    /// Age at the request's arrival, in milliseconds.
+    /// Age at the request's arrival, in milliseconds. Negative for what was learned after it.
     pub age_ms: i64,
     /// The line's message.
     pub line: String,
@@ -69,7 +69,7 @@
     pub steps: Vec<Step>,
     /// Decisions that were taken.
     pub decisions: u64,
-    /// What the node believed, oldest first.
+    /// What the node believed at the request's arrival and learned until its end, oldest first.
     pub beliefs: Vec<Belief>,
 }
 
@@ -190,7 +190,9 @@
                 value => format!("{name} {value}"),
             });
             let fields = fields.collect::<Vec<_>>().join(", ");
-            let _ = writeln!(text, "  {:>6} ms before  {}: {fields}", belief.age_ms, belief.line);
+            let side = if belief.age_ms >= 0 { "before" } else { "after" };
+            let distance_ms = belief.age_ms.unsigned_abs();
+            let _ = writeln!(text, "  {distance_ms:>6} ms {side}  {}: {fields}", belief.line);
         }
     }
 }
@@ -269,6 +271,7 @@
     let total_ms = ended.number("total_ms").unwrap_or_default();
     let arrived = ended.at - time::Duration::milliseconds(i64::try_from(total_ms).unwrap_or(0));
     let mut beliefs: BTreeMap<(&str, &str, &str), Belief> = BTreeMap::new();
+    let mut news = Vec::new();
     let before = entries.iter().filter(|entry| entry.node == ended.node && entry.at <= ended.at);
     for entry in before.filter(|entry| !matches!(&*entry.message, "decision" | "request ended")) {
         let upstream = entry.text("upstream");
@@ -280,10 +283,13 @@
                 line: entry.message.clone(),
                 fields: entry.fields.clone(),
             };
-            beliefs.insert(entry.subject(), belief);
+            match belief.age_ms >= 0 {
+                true => drop(beliefs.insert(entry.subject(), belief)),
+                false => news.push(belief),
+            }
         }
     }
-    let mut beliefs: Vec<Belief> = beliefs.into_values().collect();
+    let mut beliefs: Vec<Belief> = beliefs.into_values().chain(news).collect();
     beliefs.sort_by_key(|belief| std::cmp::Reverse(belief.age_ms));
     let mut visit = Visit {
         node: ended.node.clone(),
--- a/crates/fescuelock-operators/tests/explain.rs
+++ b/crates/fescuelock-operators/tests/explain.rs
@@ -11,6 +11,7 @@
   1.0 edge-1 {"msg":"upstream changed","level":"INFO","ts":"2026-04-27T21:09:58.000Z","node":"edge-1","change":"joined","revision":71,"upstream":"i-3"}
   1.0 edge-1 {"msg":"upstream left out","level":"INFO","ts":"2026-04-27T21:09:59.000Z","node":"edge-1","reason":"failures above its peers","upstream":"i-2"}
   1.0 edge-1 {"msg":"configuration adopted","level":"INFO","ts":"2026-04-27T21:09:50.000Z","node":"edge-1","version":4,"revision":69}
+  9.9 edge-1 {"msg":"configuration adopted","level":"INFO","ts":"2026-04-27T21:10:01.000Z","node":"edge-1","version":5,"revision":90}
  12.0 edge-1 {"msg":"decision","level":"INFO","ts":"2026-04-27T21:10:02.361Z","node":"edge-1","inputs":"to i-1 version v1 model small, expected 137 ms","what":"sent","at_ms":0,"request":"a1"}
  12.0 edge-2 {"msg":"decision","level":"INFO","ts":"2026-04-27T21:10:05.000Z","node":"edge-2","inputs":"Full(40.0), queue 900 ms","what":"refused","at_ms":3,"request":"b1"}
  12.0 edge-2 {"msg":"request ended","level":"INFO","ts":"2026-04-27T21:10:05.001Z","node":"edge-2","decisions":1,"total_ms":4,"target_ms":1500,"first_ms":4,"status":503,"outcome":"refused","configuration":4,"route":"draft","request":"b1"}
@@ -39,7 +40,13 @@
     // The last word on the upstream that was used, and the configuration, with their ages.
     let beliefs: Vec<(&str, i64)> =
         visit.beliefs.iter().map(|belief| (belief.line.as_str(), belief.age_ms)).collect();
-    assert_eq!(beliefs, [("configuration adopted", 10_000), ("upstream left out", 1_000)]);
+    let expected = [
+        ("configuration adopted", 10_000),
+        ("upstream left out", 1_000),
+        // Learned while the request was under way.
+        ("configuration adopted", -1_000),
+    ];
+    assert_eq!(beliefs, expected);
     assert_eq!((explanation.unreadable, explanation.left_out), (1, 8));
     assert!(explanation.text().contains("1 decisions were not logged"), "{}", explanation.text());
 }
@@ -59,7 +66,7 @@
 #[test]
 fn unknown_request() {
     let error = explain("zz", lines()).unwrap_err();
-    assert!(matches!(error, Error::NoRequest { lines: 13, left_out: 8, .. }), "{error}");
+    assert!(matches!(error, Error::NoRequest { lines: 14, left_out: 8, .. }), "{error}");
 }
 
 #[test]
--- a/crates/fescuelock-policy/src/node.rs
+++ b/crates/fescuelock-policy/src/node.rs
@@ -56,6 +56,8 @@
     /// Time from the record of an upstream's leaving until it must get nothing more, in
     /// milliseconds. Defaults to 2,000.
     pub drain_ms: u64,
+    /// Time for which the store keeps its history, in milliseconds. Defaults to 20,000.
+    pub history_ms: u64,
     /// Window of the retry bound, in milliseconds. Defaults to 10,000.
     pub retry_window_ms: u64,
     /// Extra sends per request that the fleet may make. Defaults to 0.9.
@@ -82,6 +84,7 @@
             grace_ms: 8_000,
             config_ms: 2_000,
             drain_ms: 2_000,
+            history_ms: 20_000,
             retry_window_ms: 10_000,
             retry_ratio: 0.9,
             retry_extra: 50.0,
