--- a/crates/fescuelock-http/src/client.rs
+++ b/crates/fescuelock-http/src/client.rs
@@ -55,12 +55,19 @@
 /// `Client` sends whole messages to one address.
 pub struct Client {
     pool: Pool,
+    host: String,
 }
 
 impl Client {
     /// Builds a client of an address of the form `IP:PORT`.
     pub fn new(network: SharedNetwork, address: impl Into<String>) -> Self {
-        Client { pool: Pool::new(network, address.into(), PoolOptions::default()) }
+        let address = address.into();
+        Client { host: address.clone(), pool: Pool::new(network, address, PoolOptions::default()) }
+    }
+
+    /// Names another host than the address in requests.
+    pub fn for_host(self, host: impl Into<String>) -> Self {
+        Client { host: host.into(), ..self }
     }
 
     /// Returns the address that the client connects to.
@@ -86,10 +93,8 @@
     }
 
     async fn exchange(&self, call: Call) -> Result<Answer> {
-        let mut request = Request::builder()
-            .method(call.method)
-            .uri(call.path)
-            .header(header::HOST, self.pool.address());
+        let mut request =
+            Request::builder().method(call.method).uri(call.path).header(header::HOST, &self.host);
         for (name, value) in call.headers {
             request = request.header(name, value);
         }
--- a/crates/fescuelock-router/src/hosted.rs
+++ b/crates/fescuelock-router/src/hosted.rs
@@ -1,6 +1,7 @@
 //! The daemon on the users' platform: its settings, its rules, its signals and its end.
 
 use std::fmt::{self, Display, Formatter};
+use std::io;
 use std::process::ExitCode;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -16,7 +17,7 @@
 use fescuelock_platform::store::MetadataStore;
 use fescuelock_policy::node::NodeSettings;
 use slog::{Discard, Logger, error, info, o, warn};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
 /// Exit code for settings or rules that are not valid.
@@ -140,6 +141,16 @@
         LogVolume::All => lines.logger(&settings.name),
         LogVolume::None => Logger::root(Discard, o!()),
     };
+    // Handled before anything is served: a signal must not end a node that holds requests.
+    let signals = match Signals::new() {
+        Ok(signals) => signals,
+
+        Err(error) => {
+            error!(logger, "signals cannot be handled"; "error" => %error);
+            eprintln!("signals cannot be handled: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
     let writer = tokio::spawn(lines.clone().write_out(tokio::io::stdout(), logger.clone()));
     let network = Tcp::shared();
     let counters = Counters::in_memory();
@@ -156,7 +167,7 @@
         has_peers: true,
     };
     let code = match Node::start(options).await {
-        Ok(node) => serve(node, &logger).await,
+        Ok(node) => serve(node, signals, &logger).await,
 
         Err(failure) => {
             error!(logger, "not started"; "error" => %failure);
@@ -171,23 +182,31 @@
     code
 }
 
+/// `Signals` is what the daemon is told from outside.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for the signal to stop, and stops.
-async fn serve(node: Node, logger: &Logger) -> ExitCode {
-    let signals = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-        signal(SignalKind::hangup()),
-    );
-    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
-        error!(logger, "signals cannot be handled");
-        return ExitCode::from(EXIT_FAILED);
-    };
+async fn serve(node: Node, mut signals: Signals, logger: &Logger) -> ExitCode {
     let mut settings = SettingsFile::default();
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => settings.reload(&node, logger),
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => settings.reload(&node, logger),
             () = sleep(Duration::from_millis(SETTINGS_INTERVAL_MS)) => {
                 settings.reload_if_changed(&node, logger);
             }
