--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::beliefs::Beliefs;
-use crate::fleet::Placed;
+use crate::choice::Placed;
 use crate::front::Call;
 use crate::member::MemberKey;
 use crate::metrics::Tally;
--- a/crates/fescuelock-gateway/src/lib.rs
+++ b/crates/fescuelock-gateway/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! [`node::Node`] puts the parts together. A request is read in [`front`], carried out in
 //! [`path`], and a stream is passed on in [`relay`]. What a node believes of the fleet is kept in
-//! [`fleet`]; [`follow`] and [`peers`] keep it up to date.
+//! [`fleet`], from which [`choice`] takes an upstream; [`follow`] and [`peers`] keep it up to date.
 
 pub mod answer;
 pub mod beliefs;
+pub mod choice;
 pub mod dispatch;
 pub mod errors;
 pub mod escalate;
--- a/crates/fescuelock-gateway/src/path.rs
+++ b/crates/fescuelock-gateway/src/path.rs
@@ -21,9 +21,9 @@
 
 use crate::answer;
 use crate::beliefs::Beliefs;
+use crate::choice::Placed;
 use crate::dispatch::{self, Answered, Dispatch, Errand, ms_until};
 use crate::escalate::larger_model;
-use crate::fleet::Placed;
 use crate::front::Call;
 use crate::member::MemberKey;
 use crate::metrics::{Tally, Timing};
--- a/crates/fescuelock-gateway/src/queue.rs
+++ b/crates/fescuelock-gateway/src/queue.rs
@@ -9,8 +9,8 @@
 use tokio::time::sleep;
 
 use crate::beliefs::Beliefs;
+use crate::choice::{Ask, Placed, Unplaced};
 use crate::dispatch::ms_until;
-use crate::fleet::{Ask, Placed, Unplaced};
 use crate::front::Call;
 use crate::member::MemberKey;
 use crate::metrics::Timing;
--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -14,9 +14,9 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::beliefs::Beliefs;
+use crate::choice::Placed;
 use crate::dispatch::{self, Answered, Errand, ms_until};
 use crate::events::EventReader;
-use crate::fleet::Placed;
 use crate::front::Call;
 use crate::member::MemberKey;
 use crate::metrics::Timing;
--- a/crates/fescuelock-router/src/lib.rs
+++ b/crates/fescuelock-router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod chat;
 pub mod errors;
 pub mod hosted;
+mod local;
 pub mod logs;
 pub mod node;
 pub mod path;
--- a/crates/fescuelock-router/src/node.rs
+++ b/crates/fescuelock-router/src/node.rs
@@ -14,9 +14,9 @@
 use fescuelock_core::tasks::Tasks;
 use fescuelock_http::net::{Listener, SharedNetwork};
 use fescuelock_http::server::{Server, ServerOptions};
-use fescuelock_nodes::mesh::{LocalNode, Mesh, MeshOptions};
+use fescuelock_nodes::mesh::{Mesh, MeshOptions};
 use fescuelock_operators::admin::{Admin, NodeStatus, StatusSource, resident_kib};
-use fescuelock_store::bills::{Bill, BillHolder, Recorder, RecorderOptions, Writer, recorder};
+use fescuelock_store::bills::{BillHolder, Recorder, RecorderOptions, Writer, recorder};
 use fescuelock_store::claims::Claims;
 use fescuelock_store::config::{Adopter, Follower};
 use fescuelock_store::http_store::{HttpStore, HttpStoreOptions};
@@ -27,10 +27,10 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info};
-use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
+use crate::local::{Local, announce, take_vms};
 use crate::path::RequestPath;
 use crate::settings::Settings;
 use crate::{Error, Result};
@@ -391,55 +391,6 @@
     shared.tasks.spawn(server.run(listener, Arc::new(admin)));
 }
 
-/// `Local` is what the links to other nodes need of this one.
-struct Local {
-    config: Arc<ConfigCell>,
-    adopter: Arc<Adopter>,
-    bills: Recorder,
-}
-
-impl LocalNode for Local {
-    fn generation(&self) -> u64 {
-        self.config.current().generation.0
-    }
-
-    fn rules(&self) -> Option<(u64, String)> {
-        self.adopter.current().map(|rules| (rules.generation, rules.text))
-    }
-
-    fn is_platform_reachable(&self) -> bool {
-        self.adopter.is_reachable()
-    }
-
-    fn offer_rules(&self, generation: u64, text: &str) {
-        // The first rules of a node come from the platform, unless it is away.
-        if self.generation() > 0 || !self.adopter.is_reachable() {
-            self.adopter.offer(generation, text);
-        }
-    }
-
-    fn record_held(&self, bill: Bill) {
-        self.bills.record(bill);
-    }
-}
-
-/// Tells the other nodes of each generation that comes into force.
-async fn announce(mesh: Mesh, mut generation: watch::Receiver<Generation>) {
-    while generation.changed().await.is_ok() {
-        let in_force = generation.borrow_and_update().0;
-        mesh.announce(in_force);
-    }
-}
-
-/// Takes over a list of VMs: which upstreams leave, and where other nodes may be found.
-fn take_vms(vms: &[Vm], config: &ConfigCell, mesh: &Mesh) {
-    let leaving = vms.iter().filter(|vm| vm.is_leaving_upstream());
-    let mut leaving: Vec<String> = leaving.map(|vm| vm.address.clone()).collect();
-    leaving.sort_unstable();
-    config.set_leaving(leaving);
-    mesh.set_seeds(vms.iter().filter_map(|vm| vm.nodes_address.clone()).collect());
-}
-
 /// Builds the counters, sent on to the configured address if there is one.
 fn counters(settings: &Settings) -> Result<Counters> {
     let Some(address) = settings.statsd_address else {
--- a/crates/fescuelock-standin/src/engine.rs
+++ b/crates/fescuelock-standin/src/engine.rs
@@ -3,6 +3,8 @@
 //! The text of an answer follows from the last message of the user, so that a reader can check
 //! every word of it, and an answer that was cut can be continued.
 
+mod tokens;
+
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -16,10 +18,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json as value};
-use sha2::{Digest, Sha256};
+use serde_json::json as value;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use self::tokens::{tag_of, token_event, token_text, usage};
 use crate::faults::EngineFaults;
 use crate::rating::RatingStandin;
 use crate::reply::{json, status};
@@ -431,29 +433,3 @@
         Box::pin(self.answer(request))
     }
 }
-
-fn usage(job: &Job, tokens: u64) -> Value {
-    value!({
-        "prompt_tokens": job.input_tokens,
-        "completion_tokens": tokens,
-        "total_tokens": job.input_tokens + tokens,
-    })
-}
-
-fn token_event(job: &Job, index: u64) -> Bytes {
-    let text = token_text(&job.tag, index);
-    Bytes::from(format!(
-        "data: {{\"id\":\"{}\",\"object\":\"chat.completion.chunk\",\"model\":\"{}\",\
-         \"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\
-         \"finish_reason\":null}}]}}\n\n",
-        job.answer_id, job.model
-    ))
-}
-
-fn token_text(tag: &str, index: u64) -> String {
-    format!("{tag}-{index} ")
-}
-
-fn tag_of(prompt: &str) -> String {
-    hex::encode(&Sha256::digest(prompt.as_bytes())[..4])
-}
