gateway: Wait for heads under way before a stopping node ends

Connections are told to end 2.3 s after the signal, and the node ended 50 ms after it had seen no request in flight; a head that was being read just then became a request that was cut. The node now ends after 200 ms without any request.

Ruled out: the grace time (2.4 s of 8 s used), requests counted in flight (0), the upstream (it ran it).

--- a/crates/fescuelock-gateway/src/node.rs
+++ b/crates/fescuelock-gateway/src/node.rs
@@ -37,6 +37,10 @@
 /// Interval at which a stopping node looks whether it has finished, in milliseconds.
 const FINISH_INTERVAL_MS: u64 = 50;
 
+/// Time without any request after which a stopping node has finished, in milliseconds: a head takes
+/// some round trips to arrive.
+const FINISH_QUIET_MS: u64 = 200;
+
 /// Interval at which roll-outs are judged, in milliseconds.
 const JUDGE_INTERVAL_MS: u64 = 150;
 
@@ -142,8 +146,14 @@
         let end = stopped + Duration::from_millis(grace_ms.saturating_sub(END_BEFORE_KILL_MS));
         sleep(Duration::from_millis(ACCEPT_AFTER_STOP_MS)).await;
         self.accepting.cancel();
-        while in_flight.load(Ordering::Relaxed) > 0 && Instant::now() < end {
+        // Connections may still finish heads that were under way when they were told to end.
+        let mut quiet_since = Instant::now();
+        while quiet_since.elapsed() < Duration::from_millis(FINISH_QUIET_MS) && Instant::now() < end
+        {
             sleep(Duration::from_millis(FINISH_INTERVAL_MS)).await;
+            if in_flight.load(Ordering::Relaxed) > 0 {
+                quiet_since = Instant::now();
+            }
         }
         let cut = in_flight.load(Ordering::Relaxed);
         info!(self.beliefs.logger, #TAG_LIFE, "stopped"; "cut" => cut);
