--- a/crates/fescuelock-gateway/src/member.rs
+++ b/crates/fescuelock-gateway/src/member.rs
@@ -15,7 +15,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MemberKey(pub u64);
 
-/// Time for opening a connection to an upstream, in milliseconds.
+/// Longest time for opening a connection to an upstream, in milliseconds.
 ///
 /// Some tens of round trips within a region; a lost packet is better answered by another upstream
 /// than by its retransmission after a second.
--- a/crates/fescuelock-standin/src/memory.rs
+++ b/crates/fescuelock-standin/src/memory.rs
@@ -1,6 +1,6 @@
 //! A network in memory, whose connections can be silenced or cut.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU16, Ordering};
@@ -21,6 +21,7 @@
 pub struct MemoryNetwork {
     listeners: Mutex<HashMap<String, Endpoint>>,
     next_port: AtomicU16,
+    unreachable: Mutex<HashSet<String>>,
 }
 
 /// `Endpoint` is a listener's side of the network.
@@ -56,6 +57,16 @@
         }
     }
 
+    /// Makes new connections to an address hang, as when packets to it are lost.
+    pub fn set_unreachable(&self, address: &str) {
+        let mut unreachable = self.unreachable.lock().unwrap_or_else(PoisonError::into_inner);
+        unreachable.insert(address.to_owned());
+    }
+
+    fn is_unreachable(&self, address: &str) -> bool {
+        self.unreachable.lock().unwrap_or_else(PoisonError::into_inner).contains(address)
+    }
+
     fn refused() -> io::Error {
         io::Error::from(io::ErrorKind::ConnectionRefused)
     }
@@ -64,6 +75,9 @@
 impl Network for MemoryNetwork {
     fn connect<'a>(&'a self, address: &'a str) -> BoxFuture<'a, io::Result<BoxIo>> {
         Box::pin(async move {
+            if self.is_unreachable(address) {
+                return std::future::pending().await;
+            }
             let state = Arc::new(LinkState::default());
             let (near, far) = duplex(PIPE_BYTES);
             let far = Link { stream: far, state: Arc::clone(&state) };
