--- a/crates/fescuelock-router/tests/soak.rs
+++ b/crates/fescuelock-router/tests/soak.rs
@@ -13,7 +13,7 @@
 
 /// Seeds that found something, with the cause. They stay to run.
 const KEPT_SEEDS: [(u64, &str); 3] = [
-    (1, "SIGTERM reached a process that had not begun to handle signals: planned stops now wait"),
+    (1, "a signal reached a process that had not begun to handle them: planned ones now wait"),
     (30, "a request whose caller left before its answer began ended without a line in the log"),
     (52, "a head that was under way when a stopping node closed its connections was cut with it"),
 ];
