--- a/crates/fescuelock-gateway/src/node.rs
+++ b/crates/fescuelock-gateway/src/node.rs
@@ -66,7 +66,7 @@
     pub store: SharedResources,
     /// The log.
     pub logger: Logger,
-    /// The lines that the log's writer takes.
+    /// The lines that the log writes to, of which metrics tell how many were left out.
     pub lines: Lines,
     /// Seed of the node's random numbers.
     pub seed: u64,
@@ -91,7 +91,8 @@
     /// Returns [`Error::Listen`] if an address cannot be listened on.
     pub async fn start(options: NodeOptions) -> Result<Self> {
         let NodeOptions { settings, steering, network, store, logger, lines, seed, .. } = options;
-        info!(logger, #TAG_LIFE, "started"; "zone" => &settings.zone, "version" => env!("CARGO_PKG_VERSION"));
+        info!(logger, #TAG_LIFE, "started"; "zone" => &settings.zone,
+            "version" => env!("CARGO_PKG_VERSION"));
         let beliefs = Arc::new(Beliefs::new(settings, steering, network, (lines, logger), seed));
         let node = Node {
             beliefs: Arc::clone(&beliefs),
@@ -140,7 +141,8 @@
     pub async fn stop(self) -> u64 {
         let stopped = Instant::now();
         let in_flight = &self.beliefs.in_flight;
-        info!(self.beliefs.logger, #TAG_LIFE, "stopping"; "in_flight" => in_flight.load(Ordering::Relaxed));
+        info!(self.beliefs.logger, #TAG_LIFE, "stopping";
+            "in_flight" => in_flight.load(Ordering::Relaxed));
         self.beliefs.stopping.cancel();
         let grace_ms = self.beliefs.bounds().grace_ms;
         let end = stopped + Duration::from_millis(grace_ms.saturating_sub(END_BEFORE_KILL_MS));
--- a/crates/fescuelock-router/src/hosted.rs
+++ b/crates/fescuelock-router/src/hosted.rs
@@ -182,7 +182,7 @@
     code
 }
 
-/// `Signals` is what the daemon is told from outside.
+/// `Signals` are the signals that the daemon handles.
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
@@ -221,22 +221,31 @@
 /// `SettingsFile` is the settings file as it was last read.
 struct SettingsFile {
     text: String,
+    is_unreadable: bool,
 }
 
 impl Default for SettingsFile {
     fn default() -> Self {
         // A file that cannot be read now is reported when it is read again.
-        SettingsFile { text: read_file().unwrap_or_default() }
+        SettingsFile { text: read_file().unwrap_or_default(), is_unreadable: false }
     }
 }
 
 impl SettingsFile {
     /// Puts settings in force if their file has changed.
     fn reload_if_changed(&mut self, node: &Node, logger: &Logger) {
-        match read_file() {
-            // A file that is being replaced may be missing or empty for a moment.
+        let read = read_file();
+        let was_unreadable = std::mem::replace(&mut self.is_unreadable, read.is_err());
+        match read {
+            // A file that is being replaced may be empty for a moment.
             Ok(text) if text != self.text && !text.is_empty() => self.reload(node, logger),
-            _ => {}
+            Ok(_) => {}
+            Err(faults) if !was_unreadable => {
+                warn!(logger, #TAG_LIFE, "settings unusable, the last ones stay";
+                    "faults" => faults);
+            }
+            // Told already.
+            Err(_) => {}
         }
     }
 
@@ -254,7 +263,8 @@
                     "for_next_start" => waiting.join(","));
             }
             Err(faults) => {
-                warn!(logger, #TAG_LIFE, "settings unusable, the last ones stay"; "faults" => faults);
+                warn!(logger, #TAG_LIFE, "settings unusable, the last ones stay";
+                    "faults" => faults);
             }
         }
     }
