gateway: Serve whole answers and streams in one loop

serve_whole and serve_stream repeated placing, sending and reading; front and path answered refusals each for themselves; a connection had two time-outs, one around the other; the bounds were kept twice. There is one of each now: path::serve, path::answer_unserved, Pool::open_within, and the bounds of the fleet.

--- a/crates/fescuelock-gateway/src/beliefs.rs
+++ b/crates/fescuelock-gateway/src/beliefs.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::ArcSwap;
 use fescuelock_core::counters::Counters;
 use fescuelock_core::rules::Steering;
 use fescuelock_core::tasks::Tasks;
@@ -74,7 +73,6 @@
     deployment: Mutex<Option<Arc<Deployment>>>,
     economy: Mutex<Economy>,
     rng: Mutex<ChaCha8Rng>,
-    bounds: ArcSwap<Bounds>,
     started: Instant,
 }
 
@@ -98,7 +96,6 @@
         let run = rng.random();
         Beliefs {
             fleet: Mutex::new(Fleet::new(network.clone(), &settings, steering, run)),
-            bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             callers_options: callers_options(&Limits::default()).shared(),
             settings,
             network,
@@ -149,15 +146,14 @@
     }
 
     /// Returns the deployment's bounds in force.
-    pub fn bounds(&self) -> Arc<Bounds> {
-        self.bounds.load_full()
+    pub fn bounds(&self) -> Bounds {
+        self.fleet().bounds.clone()
     }
 
     /// Puts the bounds and regions of changed settings in force.
     ///
     /// Returns the names of changed settings that wait for the next start.
     pub fn apply(&self, changed: &NodeSettings) -> Vec<&'static str> {
-        self.bounds.store(Arc::new(changed.bounds.clone()));
         self.fleet().apply(changed);
         self.settings.bound_to_start(changed)
     }
--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -9,16 +9,16 @@
     Attempt, Progress, ReturnedRequest, Sent as SentState, UnknownCause,
 };
 use fescuelock_core::placement::Permit;
+use fescuelock_http::Error as HttpError;
 use fescuelock_http::body::Body;
-use fescuelock_http::pool::{Connection, Pool};
-use fescuelock_http::{Error as HttpError, Result as HttpResult};
+use fescuelock_http::pool::Connection;
 use fescuelock_platform::messages::{self, AnswerHead, Order};
 use fescuelock_policy::health::Outcome;
 use fescuelock_policy::placement::hash_name;
 use http::{HeaderMap, Request, StatusCode};
 use hyper::body::Incoming;
 use slog::info;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::beliefs::Beliefs;
 use crate::choice::Placed;
@@ -138,7 +138,12 @@
         Some(member) => Arc::clone(&member.connections),
         None => return Dispatch::NotSent(progress),
     };
-    let connected = connect(&connections, errand.may_reuse, call.route().target_ms).await;
+    let share_ms = (call.route().target_ms as f64 * CONNECT_TARGET_SHARE) as u64;
+    let limit_ms = share_ms.max(CONNECT_MIN_MS);
+    let connected = match errand.may_reuse {
+        true => connections.checkout_within(limit_ms).await,
+        false => connections.open_within(limit_ms).await,
+    };
     let mut connection = match connected {
         Ok(connection) => connection,
 
@@ -206,23 +211,6 @@
     }
 }
 
-/// Takes an idle connection if one may be used, or opens one while another upstream could still
-/// answer within the objective.
-async fn connect(connections: &Pool, may_reuse: bool, target_ms: u64) -> HttpResult<Connection> {
-    let share_ms = (target_ms as f64 * CONNECT_TARGET_SHARE) as u64;
-    let limit_ms = share_ms.max(CONNECT_MIN_MS);
-    let connecting = async {
-        match may_reuse {
-            true => connections.checkout().await,
-            false => connections.open().await,
-        }
-    };
-    let connected = timeout(Duration::from_millis(limit_ms), connecting).await;
-    connected.unwrap_or_else(|_| {
-        Err(HttpError::ConnectTimeout { address: connections.address().to_owned(), limit_ms })
-    })
-}
-
 /// Waits until an upstream has said nothing to any request for too long. Returns that time, in
 /// milliseconds.
 async fn silence(beliefs: &Beliefs, key: MemberKey, errand: &Errand<'_>) -> u64 {
--- a/crates/fescuelock-gateway/src/front.rs
+++ b/crates/fescuelock-gateway/src/front.rs
@@ -22,9 +22,9 @@
 use tokio::time::{Instant, timeout};
 
 use crate::beliefs::Beliefs;
-use crate::metrics::Tally;
+use crate::metrics::Timing;
+use crate::path::{self, Ended};
 use crate::trace::Trace;
-use crate::{answer, path};
 
 /// Time by which upstreams are told to end before the caller's time does, in milliseconds, so that
 /// their own last answers still arrive.
@@ -125,6 +125,12 @@
         }
     }
 
+    /// Notes a latency of the request under its route and the version that served it.
+    pub fn note_ms(&self, beliefs: &Beliefs, timing: Timing, version: &str, latency_ms: u64) {
+        let labels = [("route", self.route().name.as_str()), ("version", version)];
+        beliefs.metrics.note_ms(timing, &labels, latency_ms);
+    }
+
     /// Tells whether the router chooses the model.
     pub fn chooses_model(&self) -> bool {
         !self.route().model_sizes.is_empty() && self.head.prompt.model.is_none()
@@ -173,17 +179,12 @@
 
         Err(refusal) => {
             trace.add("refused", refusal.to_string());
-            beliefs.metrics.count(Tally::Refusals, &[("reason", refusal.code())]);
-            beliefs.counters.count(Counter::RequestsNotRun);
             let return_ms = match refusal {
                 Refusal::NotReady => Some(until_ready_ms(beliefs, left_ms)),
                 _ => None,
             };
             let outcome = Outcome::NotRun(Attempt::new().refuse(refusal));
-            let response = answer::failure(Some(trace.id()), &outcome, return_ms);
-            let elapsed_ms = trace.elapsed_ms();
-            trace.finish("refused", response.status().as_u16(), elapsed_ms);
-            response
+            path::answer_unserved(beliefs, &Ended { outcome, return_ms }, trace)
         }
     }
 }
--- a/crates/fescuelock-gateway/src/path.rs
+++ b/crates/fescuelock-gateway/src/path.rs
@@ -118,50 +118,6 @@
     }
 }
 
-/// Serves a request that has been read.
-pub async fn serve(beliefs: &Arc<Beliefs>, call: Call, trace: Trace) -> Response<Body> {
-    match call.route().repetition {
-        Repetition::Idempotent | Repetition::Once => serve_whole(beliefs, call, trace).await,
-        Repetition::ResumableStream | Repetition::OnceStream => {
-            serve_stream(beliefs, call, trace).await
-        }
-    }
-}
-
-/// Serves a request whose answer is passed on whole.
-async fn serve_whole(beliefs: &Arc<Beliefs>, call: Call, mut trace: Trace) -> Response<Body> {
-    let mut state = Progressing::default();
-    let ended = loop {
-        let placed = match place_or_wait(beliefs, &call, None, &mut state, &mut trace).await {
-            Ok(placed) => placed,
-            Err(ended) => break ended,
-        };
-        let (patience_ms, patience_max_ms) = patience_ms(&call, &state, &placed);
-        let errand = Errand {
-            model: None,
-            rank: None,
-            last_event: None,
-            patience_ms,
-            patience_max_ms,
-            may_reuse: repeatable(&call).is_some(),
-        };
-        match attempt(beliefs, &call, &mut state, placed, &errand, &mut trace).await {
-            Step::Answered(answered) => {
-                match read_whole(beliefs, &call, *answered, &mut state, &mut trace).await {
-                    Some(answer) => return deliver(beliefs, &call, answer, trace),
-                    None if state.progress.is_some() => {}
-                    None => break lost(UnknownCause::AnswerCut),
-                }
-            }
-
-            Step::Again => {}
-
-            Step::Ended(ended) => break ended,
-        }
-    };
-    finish(beliefs, &call, state, ended, trace)
-}
-
 /// Reads an upstream's whole answer.
 ///
 /// Returns `None` if the request may be sent again; then its progress is in `state`.
@@ -213,12 +169,17 @@
     }
 }
 
-/// Serves a request whose answer is a stream.
-async fn serve_stream(beliefs: &Arc<Beliefs>, call: Call, mut trace: Trace) -> Response<Body> {
+/// Serves a request that has been read.
+pub async fn serve(beliefs: &Arc<Beliefs>, call: Call, mut trace: Trace) -> Response<Body> {
     let mut state = Progressing::default();
-    let sizes = match call.chooses_model() {
-        true => call.route().model_sizes.clone(),
-        false => call.head.prompt.model.clone().into_iter().collect(),
+    let is_stream = match call.route().repetition {
+        Repetition::Idempotent | Repetition::Once => false,
+        Repetition::ResumableStream | Repetition::OnceStream => true,
+    };
+    let sizes = match is_stream {
+        true if call.chooses_model() => call.route().model_sizes.clone(),
+        true => call.head.prompt.model.clone().into_iter().collect(),
+        false => Vec::new(),
     };
     let mut model = sizes.first().cloned();
     let ended = loop {
@@ -231,10 +192,10 @@
         let errand = Errand {
             model: model.as_deref(),
             rank: model.is_some().then(|| RANK_FIRST + 2 * call.priority()),
-            last_event: call.head.last_event,
+            last_event: call.head.last_event.filter(|_| is_stream),
             patience_ms,
             patience_max_ms,
-            may_reuse: false,
+            may_reuse: !is_stream && repeatable(&call).is_some(),
         };
         let answered = match attempt(beliefs, &call, &mut state, placed, &errand, &mut trace).await
         {
@@ -242,7 +203,7 @@
             Step::Again => continue,
             Step::Ended(ended) => break ended,
         };
-        if !answered.status.is_success() {
+        if !is_stream || !answered.status.is_success() {
             match read_whole(beliefs, &call, *answered, &mut state, &mut trace).await {
                 Some(answer) => return deliver(beliefs, &call, answer, trace),
                 None if state.progress.is_some() => continue,
@@ -409,8 +370,7 @@
 fn deliver(beliefs: &Beliefs, call: &Call, answer: WholeAnswer, trace: Trace) -> Response<Body> {
     beliefs.counters.count(Counter::RequestsRan);
     let elapsed_ms = trace.elapsed_ms();
-    let labels = [("route", call.route().name.as_str()), ("version", &answer.version)];
-    beliefs.metrics.note_ms(Timing::Answer, &labels, elapsed_ms);
+    call.note_ms(beliefs, Timing::Answer, &answer.version, elapsed_ms);
     let outcome = if answer.status.is_success() { "served" } else { "upstream failure" };
     trace.finish(outcome, answer.status.as_u16(), elapsed_ms);
     let mut response = Response::new(Body::whole(answer.body));
@@ -431,6 +391,11 @@
     if let (Some(answer), Outcome::Unknown(_)) = (state.last_answer, &ended.outcome) {
         return deliver(beliefs, call, answer, trace);
     }
+    answer_unserved(beliefs, &ended, trace)
+}
+
+/// Answers a request that no upstream has answered, with the outcome that it ended with.
+pub fn answer_unserved(beliefs: &Beliefs, ended: &Ended, trace: Trace) -> Response<Body> {
     let (counter, name) = match &ended.outcome {
         Outcome::NotRun(not_run) => {
             let labels = [("reason", not_run.refusal().code())];
@@ -443,7 +408,7 @@
         }
     };
     beliefs.counters.count(counter);
-    let response = answer::failure(Some(&call.id), &ended.outcome, ended.return_ms);
+    let response = answer::failure(Some(trace.id()), &ended.outcome, ended.return_ms);
     let elapsed_ms = trace.elapsed_ms();
     trace.finish(name, response.status().as_u16(), elapsed_ms);
     response
--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -87,8 +87,7 @@
     *response.status_mut() = answered.status;
     *response.headers_mut() = messages::caller_headers(&answered.headers);
     let first_ms = trace.elapsed_ms();
-    let labels = [("route", call.route().name.as_str()), ("version", &answered.placed.version)];
-    beliefs.metrics.note_ms(Timing::FirstEvent, &labels, first_ms);
+    call.note_ms(beliefs, Timing::FirstEvent, &answered.placed.version, first_ms);
     let reader = EventReader::new(call.head.last_event);
     let relay = Relay {
         beliefs: Arc::clone(beliefs),
@@ -284,8 +283,8 @@
 
     fn finish(self, outcome: &'static str, counter: Counter) {
         self.beliefs.counters.count(counter);
-        let labels = [("route", self.call.route().name.as_str()), ("version", &self.version)];
-        self.beliefs.metrics.note_ms(Timing::Answer, &labels, self.trace.elapsed_ms());
+        let elapsed_ms = self.trace.elapsed_ms();
+        self.call.note_ms(&self.beliefs, Timing::Answer, &self.version, elapsed_ms);
         self.trace.finish(outcome, 200, self.first_ms);
     }
 
--- a/crates/fescuelock-http/src/pool.rs
+++ b/crates/fescuelock-http/src/pool.rs
@@ -105,9 +105,19 @@
     ///
     /// Returns an error that proves that nothing was sent.
     pub async fn checkout(&self) -> Result<Connection> {
+        self.checkout_within(self.options.connect_timeout_ms).await
+    }
+
+    /// Lends a connection, an idle one where possible, or opens one within a time in milliseconds if
+    /// that is shorter than the time of the options.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that proves that nothing was sent.
+    pub async fn checkout_within(&self, limit_ms: u64) -> Result<Connection> {
         match self.reuse() {
             Some(connection) => Ok(connection),
-            None => self.open().await,
+            None => self.open_within(limit_ms).await,
         }
     }
 
@@ -117,11 +127,19 @@
     ///
     /// Returns an error that proves that nothing was sent.
     pub async fn open(&self) -> Result<Connection> {
-        let limit = Duration::from_millis(self.options.connect_timeout_ms);
-        let timed_out = || Error::ConnectTimeout {
-            address: self.address.clone(),
-            limit_ms: self.options.connect_timeout_ms,
-        };
+        self.open_within(self.options.connect_timeout_ms).await
+    }
+
+    /// Opens a new connection within a time in milliseconds if that is shorter than the time of the
+    /// options.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that proves that nothing was sent.
+    pub async fn open_within(&self, limit_ms: u64) -> Result<Connection> {
+        let limit_ms = limit_ms.min(self.options.connect_timeout_ms);
+        let limit = Duration::from_millis(limit_ms);
+        let timed_out = || Error::ConnectTimeout { address: self.address.clone(), limit_ms };
         let sender = timeout(limit, self.handshake()).await.map_err(|_| timed_out())??;
         Ok(Connection { sender })
     }
