router: Read a changed settings file once

The daemon read the file twice at its start and twice for a change. explain's cause wrote the same sentence twice. Log lines: a file that a SIGHUP found unreadable is not reported again by the next look.

--- a/crates/fescuelock-operators/src/explain.rs
+++ b/crates/fescuelock-operators/src/explain.rs
@@ -313,20 +313,18 @@
 /// Returns what decided the outcome of a request, in a line.
 fn cause(visit: &Visit) -> String {
     let last = |wanted: &[&str]| {
-        visit.steps.iter().rev().find(|step| wanted.contains(&step.what.as_str()))
+        let step = visit.steps.iter().rev().find(|step| wanted.contains(&step.what.as_str()));
+        step.map_or_else(
+            || format!("{}; the decision was not logged", visit.outcome),
+            |step| format!("{} after {} ms: {}", step.what, step.at_ms, step.inputs),
+        )
     };
     let is_late = visit.target_ms.is_some_and(|target_ms| visit.first_ms > target_ms);
     match visit.outcome.as_str() {
-        "refused" => last(&["refused", "turned away", "not sent"]).map_or_else(
-            || "refused; the decision was not logged".to_owned(),
-            |step| format!("{} after {} ms: {}", step.what, step.at_ms, step.inputs),
-        ),
+        "refused" => last(&["refused", "turned away", "not sent"]),
         "served" if !is_late => "none: it was served in time".to_owned(),
         "served" => slowest(visit),
-        _ => last(&["lost", "repeated", "answer cut", "cut", "not resumed"]).map_or_else(
-            || format!("{}; the decision was not logged", visit.outcome),
-            |step| format!("{} after {} ms: {}", step.what, step.at_ms, step.inputs),
-        ),
+        _ => last(&["lost", "repeated", "answer cut", "cut", "not resumed"]),
     }
 }
 
--- a/crates/fescuelock-router/src/hosted.rs
+++ b/crates/fescuelock-router/src/hosted.rs
@@ -75,11 +75,12 @@
 
 /// Runs the daemon until a signal ends it.
 pub fn main(options: &HostedOptions) -> ExitCode {
-    let loaded = read_settings().and_then(|settings| {
+    let loaded = read_file().and_then(|text| {
+        let settings = parse(&text)?;
         let steering = read_rules(options.rules.as_deref())?;
-        Ok((settings, steering))
+        Ok((SettingsFile { text, is_unreadable: false }, settings, steering))
     });
-    let (settings, steering) = match loaded {
+    let (file, settings, steering) = match loaded {
         Ok(loaded) => loaded,
 
         Err(faults) => {
@@ -101,12 +102,12 @@
             return ExitCode::from(EXIT_FAILED);
         }
     };
-    runtime.block_on(run(settings, steering, options))
+    runtime.block_on(run(file, settings, steering, options))
 }
 
-/// Reads the settings that the platform gives.
-fn read_settings() -> Result<NodeSettings, String> {
-    settings::parse(&read_file()?).map_err(|error| error.to_string())
+/// Reads the settings that the platform gives from their text.
+fn parse(text: &str) -> Result<NodeSettings, String> {
+    settings::parse(text).map_err(|error| error.to_string())
 }
 
 /// Reads the text of the settings file.
@@ -135,7 +136,12 @@
 }
 
 /// Runs a node until it is told to stop.
-async fn run(settings: NodeSettings, steering: Steering, hosted: &HostedOptions) -> ExitCode {
+async fn run(
+    file: SettingsFile,
+    settings: NodeSettings,
+    steering: Steering,
+    hosted: &HostedOptions,
+) -> ExitCode {
     let lines = Lines::default();
     let logger = match hosted.log {
         LogVolume::All => lines.logger(&settings.name),
@@ -167,7 +173,7 @@
         has_peers: true,
     };
     let code = match Node::start(options).await {
-        Ok(node) => serve(node, signals, &logger).await,
+        Ok(node) => serve(node, file, signals, &logger).await,
 
         Err(failure) => {
             error!(logger, "not started"; "error" => %failure);
@@ -200,15 +206,19 @@
 }
 
 /// Waits for the signal to stop, and stops.
-async fn serve(node: Node, mut signals: Signals, logger: &Logger) -> ExitCode {
-    let mut settings = SettingsFile::default();
+async fn serve(
+    node: Node,
+    mut file: SettingsFile,
+    mut signals: Signals,
+    logger: &Logger,
+) -> ExitCode {
     loop {
         tokio::select! {
             _ = signals.terminate.recv() => break,
             _ = signals.interrupt.recv() => break,
-            _ = signals.hangup.recv() => settings.reload(&node, logger),
+            _ = signals.hangup.recv() => file.reload(false, &node, logger),
             () = sleep(Duration::from_millis(SETTINGS_INTERVAL_MS)) => {
-                settings.reload_if_changed(&node, logger);
+                file.reload(true, &node, logger);
             }
         }
     }
@@ -224,39 +234,24 @@
     is_unreadable: bool,
 }
 
-impl Default for SettingsFile {
-    fn default() -> Self {
-        // A file that cannot be read now is reported when it is read again.
-        SettingsFile { text: read_file().unwrap_or_default(), is_unreadable: false }
-    }
-}
-
 impl SettingsFile {
-    /// Puts settings in force if their file has changed.
-    fn reload_if_changed(&mut self, node: &Node, logger: &Logger) {
+    /// Reads the settings again, and puts them in force unless only changed ones are wanted and
+    /// they are as before. A file that cannot be read is reported once.
+    fn reload(&mut self, only_changed: bool, node: &Node, logger: &Logger) {
         let read = read_file();
         let was_unreadable = std::mem::replace(&mut self.is_unreadable, read.is_err());
-        match read {
+        let loaded = match read {
             // A file that is being replaced may be empty for a moment.
-            Ok(text) if text != self.text && !text.is_empty() => self.reload(node, logger),
-            Ok(_) => {}
-            Err(faults) if !was_unreadable => {
-                warn!(logger, #TAG_LIFE, "settings unusable, the last ones stay";
-                    "faults" => faults);
+            Ok(text) if only_changed && (text == self.text || text.is_empty()) => return,
+            Err(_) if only_changed && was_unreadable => return,
+            Err(faults) => Err(faults),
+            Ok(text) => {
+                self.text = text;
+                parse(&self.text)
             }
-            // Told already.
-            Err(_) => {}
-        }
-    }
-
-    /// Puts bounds and regions in force. Addresses stay as they were until the next start.
-    fn reload(&mut self, node: &Node, logger: &Logger) {
-        let loaded = read_file().and_then(|text| {
-            let settings = settings::parse(&text).map_err(|error| error.to_string());
-            self.text = text;
-            settings
-        });
+        };
         match loaded {
+            // Addresses stay as they were until the next start.
             Ok(settings) => {
                 let waiting = node.beliefs().apply(&settings);
                 info!(logger, #TAG_LIFE, "settings read again"; "bounds" => ?settings.bounds,
