--- a/crates/fescuelock-load/src/experiments/once.rs
+++ b/crates/fescuelock-load/src/experiments/once.rs
@@ -78,11 +78,7 @@
         .map(|caller| tokio::spawn(book(directory.clone(), attempts.clone(), options.seed, caller)))
         .collect();
     let kills = kill_nodes(&mut cluster, &directory, options).await?;
-    directory.stop();
-    for caller in callers {
-        // A caller that panics is seen in the missing attempts.
-        let _ = caller.await;
-    }
+    directory.finish(callers).await;
     cluster.deployment.platform.set_faults(PlatformFaults::default());
     let calls = cluster.deployment.platform.counts();
     for node in 0..NODES {
--- a/crates/fescuelock-load/src/experiments/outage.rs
+++ b/crates/fescuelock-load/src/experiments/outage.rs
@@ -79,11 +79,7 @@
     sleep(CATCH_UP).await;
     let calls_after = cluster.deployment.platform.take_rate_max();
     let after = sent.take();
-    directory.stop();
-    for caller in callers {
-        // A caller that panics is seen in the missing requests.
-        let _ = caller.await;
-    }
+    directory.finish(callers).await;
     let last = sent.take();
     for node in 0..NODES {
         cluster.drain_node(node).await;
--- a/crates/fescuelock-load/src/experiments/replace.rs
+++ b/crates/fescuelock-load/src/experiments/replace.rs
@@ -84,11 +84,7 @@
             bills_lost += drained.bills_lost;
         }
     }
-    directory.stop();
-    for caller in callers {
-        // A caller that panics is seen in the missing turns.
-        let _ = caller.await;
-    }
+    directory.finish(callers).await;
     for node in 0..NODES {
         if let Some(drained) = cluster.drain_node(node).await {
             requests_cut += drained.requests_cut;
--- a/crates/fescuelock-load/src/experiments/traffic.rs
+++ b/crates/fescuelock-load/src/experiments/traffic.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinHandle;
 
 use crate::Result;
 use crate::caller::Caller;
@@ -50,6 +51,15 @@
         self.stopped.store(true, Ordering::Relaxed);
     }
 
+    /// Tells callers to send nothing more, and waits for their last answers.
+    pub async fn finish(&self, callers: Vec<JoinHandle<()>>) {
+        self.stop();
+        for caller in callers {
+            // A caller that panics is seen in what it did not record.
+            let _ = caller.await;
+        }
+    }
+
     /// Tells whether callers should go on.
     pub fn is_open(&self) -> bool {
         !self.stopped.load(Ordering::Relaxed)
