gateway: Log the shared prompt segments of each send

Cause: the log did not tell which segments a request held whose engine ended, so crashes could not be related to prompts. Change: the inputs of `sent` end with the ids of the shared segments.

--- a/crates/fescuelock-gateway/src/serve.rs
+++ b/crates/fescuelock-gateway/src/serve.rs
@@ -317,7 +317,7 @@
         "sent",
         format!(
             "to {} version {} model {}, expected {:.0} ms, queue {:.0} ms, {} uncached tokens, \
-             {} candidate upstreams, load reports up to {} ms old",
+             {} candidate upstreams, load reports up to {} ms old, shared segments {}",
             placement.id,
             placement.version,
             options.model.unwrap_or("-"),
@@ -326,6 +326,7 @@
             placement.uncached_tokens,
             placement.candidates,
             placement.loads_age_ms,
+            request.parsed_headers.prompt.shared_segments_text(),
         ),
     );
     state.tried.push(placement.key);
--- a/crates/fescuelock-policy/src/prompt.rs
+++ b/crates/fescuelock-policy/src/prompt.rs
@@ -62,10 +62,21 @@
         VALUE_PER_KTOKEN * weighted / 1_000.0
     }
 
+    /// Returns the segments that other prompts may share: all but the last one.
+    pub fn shared_segments(&self) -> &[PromptSegment] {
+        self.segments.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the ids of the shared segments as text for the log, or `-` if there are none.
+    pub fn shared_segments_text(&self) -> String {
+        let ids: Vec<String> =
+            self.shared_segments().iter().map(|segment| format!("{:x}", segment.id)).collect();
+        if ids.is_empty() { "-".to_owned() } else { ids.join(" ") }
+    }
+
     /// Returns the number of tokens in segments that other prompts may share.
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self.segments.len().saturating_sub(1);
-        self.segments.iter().take(shared).map(|segment| segment.tokens).sum()
+        self.shared_segments().iter().map(|segment| segment.tokens).sum()
     }
 
     /// Returns the id of the last segment that other prompts may share, for placement by cache
