gateway: Reject prompt segments that crash engines

Cause: nothing related the end of an engine to what its requests held. The router repeated such a request like any other whose connection was lost, and placed the next one with the same segment on a sound engine.

Evidence: with the segments in the log, one segment was in 58 losses before the first event and in no answer; all others were answered elsewhere.

Change: a policy gathers crashes and begun responses by segment, in the reports that nodes exchange anyway. A response that begins clears its segments; the fewest segments that explain the remaining crashes are rejected, after three crashes seen by two nodes. Suspected requests go to one engine that all nodes choose; rejected ones are refused at once and checked again before each send, and those on their way are aborted. A verdict ends with a trial or two minutes after the last such request, and is kept in the store for nodes that all stop at once.

--- a/crates/fescuelock-core/src/outcome.rs
+++ b/crates/fescuelock-core/src/outcome.rs
@@ -77,6 +77,8 @@
     AnswerCut,
     /// An earlier request with the same idempotency key is recorded without a result.
     AlreadyAttempted,
+    /// The router aborted the request because requests like it crash upstreams.
+    Aborted,
 }
 
 /// `Outcome` is the outcome of a request without a response to forward: not run, or unknown.
@@ -211,6 +213,7 @@
             UnknownCause::AnswerInvalid => "answer_invalid",
             UnknownCause::AnswerCut => "answer_cut",
             UnknownCause::AlreadyAttempted => "already_attempted",
+            UnknownCause::Aborted => "aborted",
         }
     }
 
@@ -221,7 +224,8 @@
             UnknownCause::AlreadyAttempted => 409,
             UnknownCause::ConnectionLost
             | UnknownCause::AnswerInvalid
-            | UnknownCause::AnswerCut => 502,
+            | UnknownCause::AnswerCut
+            | UnknownCause::Aborted => 502,
         }
     }
 
@@ -235,6 +239,9 @@
             UnknownCause::AlreadyAttempted => {
                 "a request with this idempotency key was attempted already; its outcome is unknown"
             }
+            UnknownCause::Aborted => {
+                "the request was aborted because requests like it crash upstreams"
+            }
         }
     }
 }
--- a/crates/fescuelock-core/src/refusal.rs
+++ b/crates/fescuelock-core/src/refusal.rs
@@ -73,6 +73,9 @@
     /// The idempotency key was used before with a different request.
     #[error("the idempotency key was used before with a different request")]
     KeyReused,
+    /// A segment of the prompt crashes the upstreams that process it.
+    #[error("a segment of the prompt crashes the upstreams that process it")]
+    PromptRejected,
     /// The node has no confirmed configuration yet or is shutting down.
     #[error("this node takes no new requests")]
     NotReady,
@@ -103,6 +106,7 @@
             Refusal::Unreachable(_) => "unreachable",
             Refusal::ClaimUnavailable => "claim_unavailable",
             Refusal::KeyReused => "key_reused",
+            Refusal::PromptRejected => "prompt_rejected",
             Refusal::NotReady => "not_ready",
             Refusal::Overloaded => "overloaded",
         }
@@ -126,6 +130,7 @@
             | Refusal::NoUpstream(_)
             | Refusal::Unreachable(_)
             | Refusal::ClaimUnavailable
+            | Refusal::PromptRejected
             | Refusal::NotReady
             | Refusal::Overloaded => 503,
         }
--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -20,6 +20,7 @@
 use slog::info;
 use tokio::time::{Instant, sleep};
 
+use crate::crashes;
 use crate::handler::RoutedRequest;
 use crate::metrics::LabelledCounter;
 use crate::node_state::NodeState;
@@ -80,6 +81,8 @@
     NotSent(PendingRequest),
     /// The request may have reached the upstream, but there is no usable response.
     Lost(RequestProgress<SentState>, UnknownCause),
+    /// The request was sent and aborted, because a segment of its prompt was rejected meanwhile.
+    Aborted,
 }
 
 /// `AttemptOptions` configures one attempt to serve a request.
@@ -99,6 +102,8 @@
     pub response_timeout_ms: u64,
     /// Whether an idle connection from the pool may be used.
     pub may_reuse_connection: bool,
+    /// Whether the request is the trial of a rejected prompt segment.
+    pub is_trial: bool,
 }
 
 impl UpstreamLoadGuard {
@@ -173,7 +178,8 @@
     let upstream_request = match build_request(request, &placement, options) {
         // The upstream may have been removed while the connection was opened.
         Ok(upstream_request)
-            if node_state.fleet().can_send_to(placement.key, pool, node_state.now_ms()) =>
+            if node_state.fleet().can_send_to(placement.key, pool, node_state.now_ms())
+                && !is_prompt_rejected(node_state, request, options) =>
         {
             upstream_request
         }
@@ -197,6 +203,7 @@
         result = connection.send(upstream_request, options.response_timeout_ms) => result,
         limit_ms = wait_for_silence(node_state, placement.key, options) =>
             Err(HttpError::AnswerTimeout { limit_ms }),
+        () = wait_for_rejection(node_state, request, options) => return SendResult::Aborted,
     };
     let elapsed_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     match result {
@@ -245,6 +252,33 @@
     }
 }
 
+/// Returns whether the prompt of a generation was rejected since it was placed.
+fn is_prompt_rejected(
+    node_state: &NodeState,
+    request: &RoutedRequest,
+    options: &AttemptOptions<'_>,
+) -> bool {
+    let prompt = &request.parsed_headers.prompt;
+    options.model.is_some()
+        && !options.is_trial
+        && node_state.fleet().rejected_segment(prompt, node_state.now_ms()).is_some()
+}
+
+/// Waits until the prompt of a generation is rejected. Never completes for other requests.
+pub async fn wait_for_rejection(
+    node_state: &NodeState,
+    request: &RoutedRequest,
+    options: &AttemptOptions<'_>,
+) {
+    match options.model {
+        Some(_) if !options.is_trial => {
+            crashes::wait_for_rejection(node_state, &request.parsed_headers.prompt).await;
+        }
+
+        _ => std::future::pending().await,
+    }
+}
+
 /// Waits until an upstream has sent no response head or stream data for at least the silence
 /// timeout, or has been removed. Returns the timeout, in milliseconds.
 ///
--- a/crates/fescuelock-gateway/src/escalate.rs
+++ b/crates/fescuelock-gateway/src/escalate.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::UpstreamResponse;
 use crate::handler::RoutedRequest;
 use crate::node_state::NodeState;
+use crate::placement::PlacementRequest;
 use crate::queue::build_placement_request;
 use crate::serve::{RequestState, may_retry, repeat_permission};
 use crate::trace::Trace;
@@ -46,12 +47,10 @@
         let allowed_regions = request.allowed_regions();
         // The last upstream tried is that of the current stream. It stays eligible, since it may
         // also be the best one for the largest model.
-        let placement_request = build_placement_request(
-            request,
-            Some(largest),
-            &allowed_regions,
-            &state.tried[..state.tried.len() - 1],
-        );
+        let placement_request = PlacementRequest {
+            tried: &state.tried[..state.tried.len() - 1],
+            ..build_placement_request(request, Some(largest), &allowed_regions, state)
+        };
         let mut fleet = node_state.fleet();
         let placement = fleet.place(&placement_request, now_ms).ok()?;
         let priority_factor = fleet.scoring_weights.value_factor(request.priority());
--- a/crates/fescuelock-gateway/src/event_reader.rs
+++ b/crates/fescuelock-gateway/src/event_reader.rs
@@ -19,12 +19,13 @@
 pub struct EventReader {
     buffer: BytesMut,
     last_id: Option<u64>,
+    event_count: u64,
 }
 
 impl EventReader {
     /// Creates a reader for a stream of which the caller already has the events up to `last_id`.
     pub fn new(last_id: Option<u64>) -> Self {
-        EventReader { buffer: BytesMut::new(), last_id }
+        EventReader { last_id, ..EventReader::default() }
     }
 
     /// Adds a chunk of the stream and returns the events that are complete.
@@ -48,6 +49,7 @@
 
                 (id, _) => {
                     self.last_id = id.or(self.last_id);
+                    self.event_count += 1;
                     unseen.extend_from_slice(event);
                 }
             }
@@ -66,6 +68,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Returns the number of events that were returned.
+    pub fn event_count(&self) -> u64 {
+        self.event_count
+    }
+
     /// Returns the id of the last event that was returned and has one, or else the id passed to
     /// [`Self::new`].
     pub fn last_id(&self) -> Option<u64> {
--- a/crates/fescuelock-gateway/src/fleet.rs
+++ b/crates/fescuelock-gateway/src/fleet.rs
@@ -5,10 +5,13 @@
 
 use fescuelock_core::rules::ScoringWeights;
 use fescuelock_http::net::SharedNetwork;
+use fescuelock_policy::cold_start::node_rank;
+use fescuelock_policy::crash_evidence::{CrashEvidence, PromptVerdict};
 use fescuelock_policy::health::Outcome;
 use fescuelock_policy::node::{Bounds, NodeSettings};
 use fescuelock_policy::placement::hash_name;
 use fescuelock_policy::prefill_time::PrefillTimes;
+use fescuelock_policy::prompt::Prompt;
 use fescuelock_policy::upstream::{UpstreamRecord, UpstreamState};
 
 use crate::rollouts::{PendingStateWrite, Rollouts};
@@ -60,6 +63,8 @@
     pub prefill_times: PrefillTimes,
     /// Roll-outs in progress.
     pub rollouts: Rollouts,
+    /// Evidence on prompt segments that crash engines.
+    pub crash_evidence: CrashEvidence,
     /// Operators' weights for cost, quality and risk.
     pub scoring_weights: ScoringWeights,
 }
@@ -87,6 +92,7 @@
             node_hashes: vec![node_hash],
             prefill_times: PrefillTimes::default(),
             rollouts: Rollouts::new(run_id),
+            crash_evidence: CrashEvidence::new(node_hash),
             scoring_weights,
         }
     }
@@ -208,6 +214,7 @@
         self.node_hashes.push(self.node_hash);
         self.node_hashes.sort_unstable();
         self.node_hashes.dedup();
+        self.crash_evidence.set_nodes(self.node_hashes.len());
     }
 
     /// Returns the number of known nodes, including this one.
@@ -324,6 +331,26 @@
         self.rollouts.evaluate(count_ready, &self.bounds.exposure_limit(), now_ms)
     }
 
+    /// Returns how a request with a prompt may be sent.
+    pub fn prompt_verdict(&self, prompt: &Prompt, now_ms: u64) -> PromptVerdict {
+        self.crash_evidence.verdict(prompt, now_ms)
+    }
+
+    /// Returns the segment for which requests with a prompt are rejected, if there is one.
+    pub fn rejected_segment(&self, prompt: &Prompt, now_ms: u64) -> Option<u64> {
+        match self.prompt_verdict(prompt, now_ms) {
+            PromptVerdict::Rejected { segment, .. } => Some(segment),
+            PromptVerdict::Allowed | PromptVerdict::Careful { .. } => None,
+        }
+    }
+
+    /// Takes the trial of a rejected segment for a request of this node. Returns whether the
+    /// request may be sent.
+    pub fn take_trial(&mut self, segment: u64, now_ms: u64) -> bool {
+        let rank = node_rank(self.node_hash, self.node_hashes.iter().copied(), segment);
+        self.crash_evidence.take_trial(segment, rank, now_ms)
+    }
+
     /// Returns whether a request that was placed on an upstream may still be sent to it.
     pub fn can_send_to(&self, key: UpstreamKey, pool: &str, now_ms: u64) -> bool {
         self.upstreams.get(&key).is_some_and(|upstream| {
--- a/crates/fescuelock-gateway/src/lib.rs
+++ b/crates/fescuelock-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! upstreams, and [`placement`] selects one of them for each request. [`watcher`] updates this view
 //! from the object store, [`peers`] from the reports of other nodes.
 
+pub mod crashes;
 pub mod dispatch;
 pub mod error_response;
 pub mod errors;
@@ -20,6 +21,7 @@
 pub mod placement;
 pub mod queue;
 pub mod readiness;
+pub mod rejections;
 pub mod relay;
 pub mod rollouts;
 pub mod serve;
--- a/crates/fescuelock-gateway/src/metrics.rs
+++ b/crates/fescuelock-gateway/src/metrics.rs
@@ -41,6 +41,8 @@
     ModelSizes,
     /// Ejections of upstreams, by service.
     Ejections,
+    /// Changes of the verdict on a prompt segment, by the new state.
+    SegmentVerdicts,
 }
 
 /// `Gauge` identifies a value that is read when metrics are scraped.
@@ -62,6 +64,8 @@
     StoreAgeMs,
     /// Log lines that were dropped since the start.
     LogLinesDropped,
+    /// Prompt segments that are rejected because they crash engines.
+    SegmentsRejected,
 }
 
 impl LatencyHistogram {
@@ -86,11 +90,12 @@
 
 impl LabelledCounter {
     /// All labelled counters.
-    pub const ALL: [LabelledCounter; 4] = [
+    pub const ALL: [LabelledCounter; 5] = [
         LabelledCounter::Refusals,
         LabelledCounter::Failures,
         LabelledCounter::ModelSizes,
         LabelledCounter::Ejections,
+        LabelledCounter::SegmentVerdicts,
     ];
 
     /// Returns the exported name of the counter, without its prefix.
@@ -100,13 +105,14 @@
             LabelledCounter::Failures => "failures",
             LabelledCounter::ModelSizes => "model_sizes",
             LabelledCounter::Ejections => "ejections",
+            LabelledCounter::SegmentVerdicts => "segment_verdicts",
         }
     }
 }
 
 impl Gauge {
     /// All gauges.
-    pub const ALL: [Gauge; 8] = [
+    pub const ALL: [Gauge; 9] = [
         Gauge::RequestsInFlight,
         Gauge::RequestsWaiting,
         Gauge::UpstreamsReady,
@@ -115,6 +121,7 @@
         Gauge::LoadsAgeMs,
         Gauge::StoreAgeMs,
         Gauge::LogLinesDropped,
+        Gauge::SegmentsRejected,
     ];
 
     /// Returns the exported name of the gauge, without its prefix.
@@ -128,6 +135,7 @@
             Gauge::LoadsAgeMs => "loads_age_ms",
             Gauge::StoreAgeMs => "store_age_ms",
             Gauge::LogLinesDropped => "log_lines_left_out",
+            Gauge::SegmentsRejected => "segments_rejected",
         }
     }
 }
--- a/crates/fescuelock-gateway/src/node.rs
+++ b/crates/fescuelock-gateway/src/node.rs
@@ -19,6 +19,7 @@
 use crate::node_state::NodeState;
 use crate::peers::Peers;
 use crate::readiness::ReadinessHandler;
+use crate::rejections;
 use crate::rollouts::PendingStateWrite;
 use crate::watcher::{self, CollectionWatcher};
 use crate::{Error, Result};
@@ -142,6 +143,7 @@
             true => node.start_peers(&store).await,
             false => None,
         };
+        node_state.tasks.spawn(rejections::run(Arc::clone(&node_state), Arc::clone(&store)));
         node_state.tasks.spawn(run_rollouts(Arc::clone(&node_state), store, peers));
         Ok(node)
     }
--- a/crates/fescuelock-gateway/src/node_state.rs
+++ b/crates/fescuelock-gateway/src/node_state.rs
@@ -16,7 +16,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -71,6 +71,10 @@
     pub store_read_ms: AtomicU64,
     /// Time of the last report from another node that reaches the store, in milliseconds.
     pub peer_reached_store_ms: AtomicU64,
+    /// Wakes the task that sends reports, to report news without waiting for the next round.
+    pub report_soon: Notify,
+    /// Number of changes of verdicts on prompt segments.
+    pub verdicts_changed: watch::Sender<u64>,
     /// Whether the upstreams have been listed at least once; the list may have been empty.
     pub has_listed_upstreams: AtomicBool,
     deployment: Mutex<Option<Arc<Deployment>>>,
@@ -114,6 +118,8 @@
             probe_succeeds: watch::Sender::new(true),
             store_read_ms: AtomicU64::new(0),
             peer_reached_store_ms: AtomicU64::new(0),
+            report_soon: Notify::new(),
+            verdicts_changed: watch::Sender::new(0),
             has_listed_upstreams: AtomicBool::new(false),
             deployment: Mutex::default(),
             service_budgets: Mutex::default(),
--- a/crates/fescuelock-gateway/src/peers.rs
+++ b/crates/fescuelock-gateway/src/peers.rs
@@ -11,14 +11,16 @@
 use std::time::Duration;
 
 use fescuelock_platform::records::NodeRecord;
+use fescuelock_policy::crash_evidence::{Crash, ReportedCrash, SegmentReport};
 use fescuelock_policy::rollout::{Counts, Stage, Tally};
 use fescuelock_store::Error as StoreError;
 use fescuelock_store::resources::{Collection, SharedResources};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use crate::crashes;
 use crate::fleet::UpstreamStats;
 use crate::node_state::NodeState;
 use crate::rollouts::{RolloutUpdate, TallyKey};
@@ -30,6 +32,9 @@
 /// before the next request of the same kind is placed.
 const REPORT_INTERVAL_MS: u64 = 350;
 
+/// Delay of a report with news, in milliseconds. It gathers what is learnt at about the same time.
+const NEWS_DELAY_MS: u64 = 40;
+
 /// One round of reports in this many also relays the roll-out counts of other nodes, so that a node
 /// that has just started receives the counts of nodes that have stopped.
 const FULL_REPORT_INTERVAL_ROUNDS: u64 = 4;
@@ -74,6 +79,25 @@
     /// Roll-outs in progress.
     #[serde(rename = "r")]
     rollouts: Vec<RolloutReport>,
+    /// Evidence on prompt segments that crash engines. Older versions send none.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    segments: Vec<EncodedSegment>,
+}
+
+/// `EncodedSegment` is the encoded form of a [`SegmentReport`].
+#[derive(Debug, Serialize, Deserialize)]
+struct EncodedSegment {
+    #[serde(rename = "i")]
+    segment: u64,
+    #[serde(rename = "b")]
+    begun_age_ms: Option<u32>,
+    #[serde(rename = "q")]
+    requested_age_ms: u32,
+    #[serde(rename = "t")]
+    trial_age_ms: Option<u32>,
+    /// Engine, reporting node and age in milliseconds of each crash.
+    #[serde(rename = "c")]
+    crashes: Vec<(u64, u64, u32)>,
 }
 
 /// `RolloutReport` is the encoded form of a [`RolloutUpdate`].
@@ -175,8 +199,7 @@
     /// Sends reports until the task is dropped.
     pub async fn send_reports(&self) {
         for round in 0_u64.. {
-            let jitter = 0.9 + 0.2 * self.node_state.draw();
-            sleep(Duration::from_millis((REPORT_INTERVAL_MS as f64 * jitter) as u64)).await;
+            self.wait_for_round().await;
             let mut recipients = self.expire_and_list_recipients();
             while recipients.len() > REPORT_FANOUT {
                 let index = (self.node_state.draw() * recipients.len() as f64) as usize;
@@ -192,6 +215,15 @@
         }
     }
 
+    /// Waits until the next report is due, which is sooner if there is news.
+    async fn wait_for_round(&self) {
+        let jitter = 0.9 + 0.2 * self.node_state.draw();
+        let interval = Duration::from_millis((REPORT_INTERVAL_MS as f64 * jitter) as u64);
+        if timeout(interval, self.node_state.report_soon.notified()).await.is_ok() {
+            sleep(Duration::from_millis(NEWS_DELAY_MS)).await;
+        }
+    }
+
     /// Receives reports until the task is dropped.
     pub async fn receive_reports(&self) {
         let mut buffer = vec![0; REPORT_MAX_BYTES];
@@ -248,16 +280,17 @@
         }
     }
 
-    /// Inserts or updates a node that was listed in the store, or that sent a report.
+    /// Inserts or updates a node that was listed in the store, or that sent a report. Returns
+    /// whether this is its first report in a while.
     fn upsert_peer(
         &self,
         name: &str,
         address: SocketAddr,
         last_report_ms: Option<u64>,
         reaches_store: bool,
-    ) {
+    ) -> bool {
         if name == self.node_state.settings.name {
-            return;
+            return false;
         }
         let discovered_ms = self.node_state.now_ms();
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
@@ -268,6 +301,10 @@
             discovered_ms,
             reaches_store,
         });
+        let was_silent = last_report_ms.is_some_and(|now_ms| {
+            peer.last_report_ms
+                .is_none_or(|at_ms| now_ms.saturating_sub(at_ms) > PEER_INACTIVE_AFTER_MS)
+        });
         peer.address = address;
         peer.reaches_store = reaches_store;
         peer.last_report_ms = last_report_ms.or(peer.last_report_ms);
@@ -278,6 +315,7 @@
         if is_new {
             self.node_state.fleet().set_nodes(peers.keys().cloned());
         }
+        was_silent
     }
 
     /// Encodes the report of this node's current state.
@@ -289,6 +327,7 @@
             (hash, stats.load.in_flight, queue_ms, stats.answered, stats.failed)
         });
         let rollouts = fleet.rollouts.updates(includes_relayed, now_ms);
+        let segments = fleet.crash_evidence.reports(includes_relayed, now_ms);
         let report = Report {
             name: self.node_state.settings.name.clone(),
             address: self.address,
@@ -297,6 +336,7 @@
                 && !self.node_state.stopping.is_cancelled(),
             upstreams: upstreams.collect(),
             rollouts: rollouts.into_iter().map(RolloutReport::from).collect(),
+            segments: segments.into_iter().map(EncodedSegment::from).collect(),
         };
         let mut bytes = Vec::new();
         match ciborium::into_writer(&report, &mut bytes) {
@@ -324,7 +364,9 @@
         if report.reaches_store {
             self.node_state.peer_reached_store_ms.store(now_ms, Ordering::Relaxed);
         }
-        self.upsert_peer(&report.name, report.address, Some(now_ms), report.reaches_store);
+        if self.upsert_peer(&report.name, report.address, Some(now_ms), report.reaches_store) {
+            self.greet(report.address);
+        }
         let stats: HashMap<u64, UpstreamStats> = report
             .upstreams
             .into_iter()
@@ -338,6 +380,54 @@
         for rollout in report.rollouts {
             fleet.rollouts.apply_update(rollout.into(), now_ms);
         }
+        let segments: Vec<SegmentReport> = report.segments.into_iter().map(Into::into).collect();
+        let has_news = fleet.crash_evidence.apply_reports(&segments, now_ms);
+        drop(fleet);
+        if has_news {
+            crashes::announce_verdicts(&self.node_state);
+            self.node_state.report_soon.notify_one();
+        }
+    }
+
+    /// Sends a full report to a node that has just been discovered, which may know nothing yet.
+    fn greet(&self, address: SocketAddr) {
+        if let Some(bytes) = self.encode(true) {
+            // If the socket is busy, the node learns the same from the next rounds.
+            let _ = self.socket.try_send_to(&bytes, address);
+        }
+    }
+}
+
+impl From<SegmentReport> for EncodedSegment {
+    fn from(report: SegmentReport) -> Self {
+        let crashes = report.crashes.iter();
+        EncodedSegment {
+            segment: report.segment,
+            begun_age_ms: report.begun_age_ms,
+            requested_age_ms: report.requested_age_ms,
+            trial_age_ms: report.trial_age_ms,
+            crashes: crashes
+                .map(|reported| (reported.crash.engine, reported.crash.reporter, reported.age_ms))
+                .collect(),
+        }
+    }
+}
+
+impl From<EncodedSegment> for SegmentReport {
+    fn from(encoded: EncodedSegment) -> Self {
+        let crashes = encoded.crashes.into_iter();
+        SegmentReport {
+            segment: encoded.segment,
+            begun_age_ms: encoded.begun_age_ms,
+            requested_age_ms: encoded.requested_age_ms,
+            trial_age_ms: encoded.trial_age_ms,
+            crashes: crashes
+                .map(|(engine, reporter, age_ms)| ReportedCrash {
+                    crash: Crash { engine, reporter },
+                    age_ms,
+                })
+                .collect(),
+        }
     }
 }
 
--- a/crates/fescuelock-gateway/src/placement.rs
+++ b/crates/fescuelock-gateway/src/placement.rs
@@ -1,9 +1,10 @@
 //! Selects an upstream for a request, from the node's view of the fleet.
 
 use fescuelock_policy::cold_start::{self, ColdStartRate};
+use fescuelock_policy::crash_evidence::PromptVerdict;
 use fescuelock_policy::deployment::{Route, UpstreamPool};
 use fescuelock_policy::health;
-use fescuelock_policy::placement::{self, Candidate, PlacementOptions, hash_pair};
+use fescuelock_policy::placement::{self, Candidate, PlacementOptions};
 use fescuelock_policy::prompt::Prompt;
 
 use crate::fleet::Fleet;
@@ -46,6 +47,10 @@
     pub target_left_ms: f64,
     /// Value of a good response, in the units of the cost.
     pub value: f64,
+    /// Whether an engine ended while the request waited there for its first events.
+    pub has_crashed: bool,
+    /// Whether the request is the trial of a rejected prompt segment.
+    pub is_trial: bool,
 }
 
 /// `Placement` is the placement of a request: the selected upstream, and the values the selection
@@ -85,6 +90,13 @@
     /// cold. Holds the estimated time until one has capacity, in milliseconds. The estimate is
     /// based on occupancy alone.
     AtCapacity(f64),
+    /// A segment of the prompt crashes engines.
+    PromptRejected {
+        /// The rejected segment.
+        segment: u64,
+        /// Time until the next trial of the segment, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 impl Fleet {
@@ -98,6 +110,24 @@
         request: &PlacementRequest<'_>,
         now_ms: u64,
     ) -> Result<Placement, PlacementError> {
+        let verdict = match request.model {
+            Some(_) => self.prompt_verdict(request.prompt, now_ms),
+            None => PromptVerdict::Allowed,
+        };
+        // All nodes choose the same engine for the requests that may crash it.
+        let careful_segment = match verdict {
+            PromptVerdict::Rejected { segment, .. } if request.is_trial => Some(segment),
+
+            PromptVerdict::Rejected { segment, retry_after_ms } => {
+                return Err(PlacementError::PromptRejected { segment, retry_after_ms });
+            }
+
+            PromptVerdict::Careful { segment } => Some(segment),
+
+            PromptVerdict::Allowed if request.has_crashed => request.prompt.affinity_id(),
+
+            PromptVerdict::Allowed => None,
+        };
         let eligible: Vec<(UpstreamKey, &Upstream)> = self
             .ready_upstreams(&request.pool.name, now_ms)
             .filter(|(key, upstream)| {
@@ -132,9 +162,14 @@
             cross_zone_cost_share: self.scoring_weights.cross_zone_cost_share,
             ..PlacementOptions::default()
         };
-        let Some(chosen) =
-            placement::choose_cheapest(&candidates, request.target_left_ms, &options)
-        else {
+        let chosen = match careful_segment {
+            Some(segment) => {
+                let hashes = keys.iter().map(|key| self.upstreams[key].hash);
+                placement::choose_by_hash(segment, hashes)
+            }
+            None => placement::choose_cheapest(&candidates, request.target_left_ms, &options),
+        };
+        let Some(chosen) = chosen else {
             return Err(PlacementError::AtCapacity(self.time_to_capacity_ms(&matching_version)));
         };
         let candidate = candidates[chosen];
@@ -228,9 +263,8 @@
         upstreams: &[(UpstreamKey, &Upstream)],
     ) -> Option<UpstreamKey> {
         let prefix_id = request.model.and(request.prompt.affinity_id())?;
-        let weights =
-            upstreams.iter().map(|(key, upstream)| (*key, hash_pair(prefix_id, upstream.hash)));
-        weights.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
+        let hashes = upstreams.iter().map(|(_, upstream)| upstream.hash);
+        placement::choose_by_hash(prefix_id, hashes).map(|index| upstreams[index].0)
     }
 
     /// Estimates the time and cost of a request at an upstream.
--- a/crates/fescuelock-gateway/src/queue.rs
+++ b/crates/fescuelock-gateway/src/queue.rs
@@ -15,7 +15,6 @@
 use crate::placement::{Placement, PlacementError, PlacementRequest};
 use crate::serve::{RequestFailure, RequestState, repeat_permission};
 use crate::trace::Trace;
-use crate::upstream::UpstreamKey;
 
 /// Interval at which a queued request retries placement, in milliseconds.
 const PLACEMENT_RETRY_INTERVAL_MS: u64 = 15;
@@ -45,14 +44,21 @@
         if ms_until(request.deadline) == 0 {
             return Err(state.fail(Refusal::Overloaded, Some(retry_after_ms(node_state, request))));
         }
-        let placement_request =
-            build_placement_request(request, model, &allowed_regions, &state.tried);
+        let placement_request = build_placement_request(request, model, &allowed_regions, state);
         let placement = node_state.fleet().place(&placement_request, node_state.now_ms());
         let placement_error = match placement {
             Ok(placement) => {
                 record_wait(waited_ms);
                 return Ok(placement);
             }
+            Err(PlacementError::PromptRejected { segment, retry_after_ms }) => {
+                record_wait(waited_ms);
+                if !take_trial(node_state, state, segment, trace) {
+                    trace.add("refused", format!("segment {segment:x} crashes upstreams"));
+                    return Err(state.fail(Refusal::PromptRejected, Some(retry_after_ms as f64)));
+                }
+                continue;
+            }
             Err(placement_error) => placement_error,
         };
         // If no untried upstream is left, as in a small pool, retrying one that failed is better
@@ -63,7 +69,7 @@
         {
             state.tried.clear();
             let placement_request =
-                self::build_placement_request(request, model, &allowed_regions, &state.tried);
+                self::build_placement_request(request, model, &allowed_regions, state);
             if let Ok(placement) = node_state.fleet().place(&placement_request, node_state.now_ms())
             {
                 return Ok(placement);
@@ -71,7 +77,7 @@
         }
         let context = AdmissionContext {
             time_to_capacity_ms: match placement_error {
-                PlacementError::NoCandidate => None,
+                PlacementError::NoCandidate | PlacementError::PromptRejected { .. } => None,
                 PlacementError::AtCapacity(time_to_capacity_ms) => Some(time_to_capacity_ms),
             },
             waited_ms,
@@ -95,6 +101,7 @@
                 let refusal = match placement_error {
                     PlacementError::NoCandidate => Refusal::NoUpstream(request.pool().name.clone()),
                     PlacementError::AtCapacity(_) => Refusal::Overloaded,
+                    PlacementError::PromptRejected { .. } => Refusal::PromptRejected,
                 };
                 return Err(state.fail(refusal, Some(retry_after_ms)));
             }
@@ -102,6 +109,24 @@
     }
 }
 
+/// Takes the trial of a rejected prompt segment for a request that was not sent before. Returns
+/// whether the request may be sent.
+fn take_trial(
+    node_state: &NodeState,
+    state: &mut RequestState,
+    segment: u64,
+    trace: &mut Trace,
+) -> bool {
+    let now_ms = node_state.now_ms();
+    let mut fleet = node_state.fleet();
+    fleet.crash_evidence.record_rejected_request(segment, now_ms);
+    state.is_trial = state.sends == 0 && fleet.take_trial(segment, now_ms);
+    if state.is_trial {
+        trace.add("trial", format!("of segment {segment:x}"));
+    }
+    state.is_trial
+}
+
 /// `QueuedGuard` keeps a request in the count of queued requests until it is dropped.
 struct QueuedGuard {
     node_state: Arc<NodeState>,
@@ -125,7 +150,7 @@
     request: &'a RoutedRequest,
     model: Option<&'a str>,
     allowed_regions: &'a [String],
-    tried: &'a [UpstreamKey],
+    state: &'a RequestState,
 ) -> PlacementRequest<'a> {
     PlacementRequest {
         route: request.route(),
@@ -134,9 +159,11 @@
         prompt: &request.parsed_headers.prompt,
         session: request.session_key,
         allowed_regions,
-        tried,
+        tried: &state.tried,
         target_left_ms: request.target_left_ms(),
         value: request.parsed_headers.prompt.value(),
+        has_crashed: state.crashes > 0,
+        is_trial: state.is_trial,
     }
 }
 
--- /dev/null
+++ b/crates/fescuelock-gateway/src/rejections.rs
@@ -0,0 +1,124 @@
+//! Keeps the verdicts on prompts that crash engines in the platform's store, for the case that all
+//! nodes stop at the same time.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fescuelock_platform::records;
+use fescuelock_policy::cold_start::node_rank;
+use fescuelock_policy::placement::hash_name;
+use fescuelock_store::Error as StoreError;
+use fescuelock_store::resources::{Collection, SharedResources};
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::crashes::announce_verdicts;
+use crate::node_state::NodeState;
+
+/// Number of nodes that write and remove the record of a verdict, by their rank for it. Should one
+/// stop before it writes, another does.
+const WRITERS: usize = 2;
+
+/// Delay before a failed call to the store is repeated, in milliseconds.
+const RETRY_DELAY_MS: u64 = 1_000;
+
+/// Reads the verdicts of earlier nodes, then keeps the records until the task is dropped.
+pub async fn run(node_state: Arc<NodeState>, store: SharedResources) {
+    let mut recorded = adopt_records(&node_state, &store).await;
+    let mut changed = node_state.verdicts_changed.subscribe();
+    loop {
+        match write_records(&node_state, &store, &mut recorded).await {
+            true if changed.changed().await.is_err() => return,
+
+            true => {}
+
+            false => {
+                sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+            }
+        }
+    }
+}
+
+/// Adopts the recorded verdicts. Returns their names.
+async fn adopt_records(node_state: &NodeState, store: &SharedResources) -> BTreeSet<String> {
+    loop {
+        match store.list_stale(Collection::RejectedPrompts).await {
+            Ok(listing) => {
+                let mut recorded = BTreeSet::new();
+                for resource in listing.resources {
+                    match records::decode_rejection(&resource.name, &resource.spec) {
+                        Ok(record) => {
+                            let now_ms = node_state.now_ms();
+                            node_state.fleet().crash_evidence.adopt_record(&record, now_ms);
+                            info!(node_state.logger, "rejected prompt read from the store";
+                                "segment" => &resource.name);
+                        }
+                        Err(error) => {
+                            warn!(node_state.logger, "rejected prompt invalid, ignoring it";
+                                "name" => &resource.name, "error" => %error);
+                        }
+                    }
+                    recorded.insert(resource.name);
+                }
+                announce_verdicts(node_state);
+                return recorded;
+            }
+
+            Err(error) => {
+                warn!(node_state.logger, "cannot list rejected prompts in the store, retrying";
+                    "error" => %error);
+                sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+            }
+        }
+    }
+}
+
+/// Writes the records of new verdicts and removes those of verdicts that have ended.
+///
+/// Returns whether all calls succeeded.
+async fn write_records(
+    node_state: &NodeState,
+    store: &SharedResources,
+    recorded: &mut BTreeSet<String>,
+) -> bool {
+    let collection = Collection::RejectedPrompts;
+    let verdicts = node_state.fleet().crash_evidence.rejection_records(node_state.now_ms());
+    let mut names = BTreeSet::new();
+    for verdict in &verdicts {
+        let name = records::rejection_name(verdict);
+        names.insert(name.clone());
+        if recorded.contains(&name) || !is_writer(node_state, &name) {
+            continue;
+        }
+        let created = store.create(collection, &name, records::encode_rejection(verdict)).await;
+        match created {
+            // Another node wrote the same record.
+            Ok(()) | Err(StoreError::Conflict) => drop(recorded.insert(name)),
+            Err(error) => return log_failure(node_state, &name, &error),
+        }
+    }
+    let ended: Vec<String> = recorded.difference(&names).cloned().collect();
+    for name in ended {
+        if is_writer(node_state, &name)
+            && let Err(error) = store.remove(collection, &name).await
+        {
+            return log_failure(node_state, &name, &error);
+        }
+        recorded.remove(&name);
+    }
+    true
+}
+
+/// Logs a failed write and returns `false`.
+fn log_failure(node_state: &NodeState, name: &str, error: &StoreError) -> bool {
+    warn!(node_state.logger, "cannot record a rejected prompt in the store, retrying";
+        "segment" => name, "error" => %error);
+    false
+}
+
+fn is_writer(node_state: &NodeState, name: &str) -> bool {
+    let fleet = node_state.fleet();
+    let nodes = fleet.node_hashes.iter().copied();
+    node_rank(fleet.node_hash, nodes, hash_name(name)) < WRITERS
+}
--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -8,18 +8,20 @@
 use fescuelock_core::outcome::{RequestProgress, Sent, UnknownCause};
 use fescuelock_http::body::{Body, BodySender};
 use fescuelock_platform::protocol;
+use fescuelock_policy::crash_evidence::BEGUN_EVENTS;
 use fescuelock_policy::health::Outcome as HealthOutcome;
 use fescuelock_policy::placement::hash_name;
 use http::Response;
 use http_body_util::BodyExt;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use crate::crashes;
 use crate::dispatch::{self, AttemptOptions, UpstreamResponse, ms_until};
 use crate::event_reader::EventReader;
 use crate::handler::RoutedRequest;
 use crate::metrics::LatencyHistogram;
 use crate::node_state::NodeState;
-use crate::placement::Placement;
+use crate::placement::{Placement, PlacementError};
 use crate::queue;
 use crate::serve::{self, AttemptResult, RequestState};
 use crate::trace::Trace;
@@ -75,8 +77,19 @@
     CallerDisconnected,
     /// The request's deadline passed.
     DeadlineReached,
+    /// The stream was aborted before it began, because a segment of its prompt was rejected.
+    Aborted,
     /// The stream was interrupted before its end.
-    Cut(RequestProgress<Sent>, UnknownCause),
+    Cut(Interruption),
+}
+
+/// `Interruption` describes how a stream was interrupted at an engine.
+struct Interruption {
+    attempt: RequestProgress<Sent>,
+    cause: UnknownCause,
+    key: UpstreamKey,
+    /// Whether the engine had begun the response.
+    is_begun: bool,
 }
 
 /// Starts a task that relays a stream, and returns the response whose body the task feeds.
@@ -129,12 +142,22 @@
 
                 ForwardEnd::DeadlineReached => return self.fail("time ended").await,
 
-                ForwardEnd::Cut(attempt, cause) => {
+                ForwardEnd::Aborted => {
+                    self.trace.add("aborted", "a prompt segment was rejected".to_owned());
+                    return self.fail("aborted").await;
+                }
+
+                ForwardEnd::Cut(Interruption { attempt, cause, key, is_begun }) => {
                     self.reader.discard_partial();
                     self.trace.add(
                         "cut",
                         format!("{}, last event id {:?}", cause.code(), self.reader.last_id()),
                     );
+                    self.state.is_trial = false;
+                    if !is_begun {
+                        let Relay { node_state, request, state, trace, .. } = &mut self;
+                        state.record_loss(node_state, request, key, cause, trace).await;
+                    }
                     match self.resume(attempt, cause).await {
                         Some(next) => upstream_response = next,
                         None => return self.fail("cut").await,
@@ -150,6 +173,8 @@
             upstream_response;
         let mut measurement =
             Some(IntervalMeasurement { started: Instant::now(), start_id: self.reader.last_id() });
+        let first_event = self.reader.event_count();
+        let mut is_begun = false;
         let cause = loop {
             let frame = tokio::select! {
                 biased;
@@ -157,6 +182,7 @@
                 frame = body.frame() => frame,
                 () = self.wait_for_stall(load_guard.key) => break UnknownCause::AnswerTimeout,
                 () = sleep_until(self.request.deadline) => return ForwardEnd::DeadlineReached,
+                () = self.wait_for_rejection(), if !is_begun => return ForwardEnd::Aborted,
             };
             let chunk = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -165,6 +191,12 @@
                 None => {
                     // Connections of streams are not reused.
                     drop(connection);
+                    if !is_begun {
+                        crashes::record_begun(
+                            &self.node_state,
+                            &self.request.parsed_headers.prompt,
+                        );
+                    }
                     // A stream with few events is measured over the events that it has.
                     self.record_event_interval(&mut measurement, &placement, 1);
                     return ForwardEnd::Complete;
@@ -174,6 +206,10 @@
                 upstream.last_byte_ms = self.node_state.now_ms();
             }
             let events = self.reader.push(&chunk);
+            if !is_begun && self.reader.event_count() - first_event >= BEGUN_EVENTS {
+                is_begun = true;
+                crashes::record_begun(&self.node_state, &self.request.parsed_headers.prompt);
+            }
             if !events.is_empty() && !self.sender.send(events).await {
                 return ForwardEnd::CallerDisconnected;
             }
@@ -190,7 +226,18 @@
             outcome,
             cause.code(),
         );
-        ForwardEnd::Cut(attempt, cause)
+        ForwardEnd::Cut(Interruption { attempt, cause, key: placement.key, is_begun })
+    }
+
+    /// Waits until the prompt is rejected. Never completes for the trial of a rejected segment.
+    async fn wait_for_rejection(&self) {
+        match self.state.is_trial {
+            true => std::future::pending().await,
+            false => {
+                let prompt = &self.request.parsed_headers.prompt;
+                crashes::wait_for_rejection(&self.node_state, prompt).await;
+            }
+        }
     }
 
     /// Records the mean interval between the engine's events, once, after `events_min` events or as
@@ -277,6 +324,7 @@
                 silence_timeout_ms: remaining_ms,
                 response_timeout_ms: remaining_ms,
                 may_reuse_connection: false,
+                is_trial: self.state.is_trial,
             };
             let attempted = serve::send_and_classify(
                 &self.node_state,
@@ -316,16 +364,20 @@
         let allowed_regions = self.request.allowed_regions();
         loop {
             let model = (!self.model.is_empty()).then_some(self.model.as_str());
-            let placement_request = queue::build_placement_request(
-                &self.request,
-                model,
-                &allowed_regions,
-                &self.state.tried,
-            );
+            let placement_request =
+                queue::build_placement_request(&self.request, model, &allowed_regions, &self.state);
             let placement =
                 self.node_state.fleet().place(&placement_request, self.node_state.now_ms());
-            if let Ok(placement) = placement {
-                return Some(placement);
+            match placement {
+                Ok(placement) => return Some(placement),
+
+                Err(PlacementError::PromptRejected { segment, .. }) => {
+                    let reason = format!("segment {segment:x} crashes upstreams");
+                    self.trace.add("not resumed", reason);
+                    return None;
+                }
+
+                Err(PlacementError::NoCandidate | PlacementError::AtCapacity(_)) => {}
             }
             // An engine that was tried before may be the only one left.
             self.state.tried.clear();
--- a/crates/fescuelock-gateway/src/serve.rs
+++ b/crates/fescuelock-gateway/src/serve.rs
@@ -13,12 +13,14 @@
 use fescuelock_core::refusal::Refusal;
 use fescuelock_http::body::{Body, read_all};
 use fescuelock_platform::protocol;
+use fescuelock_policy::crash_evidence::CRASHES_PER_REQUEST_MAX;
 use fescuelock_policy::deployment::RetrySafety;
 use fescuelock_policy::health;
 use fescuelock_policy::retry_budget::RetryPurpose;
 use http::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout;
 
+use crate::crashes;
 use crate::dispatch::{self, AttemptOptions, SendResult, UpstreamResponse, ms_until};
 use crate::error_response;
 use crate::escalate::try_escalate;
@@ -77,6 +79,11 @@
     /// upstream had closed an idle one, the upstream had been removed, or no request could be
     /// built.
     pub unsent_attempts: u32,
+    /// Number of engines that ended while the request waited there for its first events.
+    pub crashes: u32,
+    /// Whether the next or current send is the trial of a rejected prompt segment. A trial is not
+    /// repeated.
+    pub is_trial: bool,
     /// Last error response of an upstream, forwarded if no retry gets a response.
     last_error_response: Option<BufferedResponse>,
 }
@@ -105,6 +112,8 @@
             sends: 0,
             rejections: 0,
             unsent_attempts: 0,
+            crashes: 0,
+            is_trial: false,
             last_error_response: None,
         }
     }
@@ -116,6 +125,26 @@
         self.progress.take().unwrap_or(PendingRequest::Unsent(RequestProgress::new()))
     }
 
+    /// Records that the connection to an upstream was lost before the first events of a generation.
+    pub async fn record_loss(
+        &mut self,
+        node_state: &NodeState,
+        request: &RoutedRequest,
+        key: UpstreamKey,
+        cause: UnknownCause,
+        trace: &mut Trace,
+    ) {
+        let prompt = &request.parsed_headers.prompt;
+        let is_loss = matches!(cause, UnknownCause::ConnectionLost | UnknownCause::AnswerCut);
+        if is_loss
+            && !prompt.segments.is_empty()
+            && crashes::record_lost_request(node_state, prompt, key).await
+        {
+            self.crashes += 1;
+            trace.add("engine crashed", format!("crash {} under this request", self.crashes));
+        }
+    }
+
     /// Ends the request: refused if no upstream may have run it, otherwise with an unknown outcome.
     pub fn fail(&mut self, refusal: Refusal, retry_after_ms: Option<f64>) -> RequestFailure {
         RequestFailure { outcome: self.take().end(refusal), retry_after_ms }
@@ -148,6 +177,9 @@
     let result = timeout(limit, read_all(body, RESPONSE_MAX_BYTES)).await;
     match result {
         Ok(Ok(body)) => {
+            if status.is_success() {
+                crashes::record_begun(node_state, &request.parsed_headers.prompt);
+            }
             let version = placement.version.clone();
             let response = BufferedResponse { version, status, headers, body };
             if let Some(upstream) = node_state.fleet().upstream_mut(load_guard.key) {
@@ -184,6 +216,7 @@
                 health::Outcome::Failed,
                 cause.code(),
             );
+            state.record_loss(node_state, request, placement.key, cause, trace).await;
             let retry = take_retry_if_repeatable(node_state, request, state);
             state.progress = retry.map(|repeatable| attempt.retry(repeatable, cause));
             None
@@ -227,6 +260,7 @@
             silence_timeout_ms,
             response_timeout_ms,
             may_reuse_connection: !is_stream && repeat_permission(&request).is_some(),
+            is_trial: state.is_trial,
         };
         let upstream_response = match send_and_classify(
             node_state, &request, &mut state, placement, &options, &mut trace,
@@ -330,7 +364,7 @@
         ),
     );
     state.tried.push(placement.key);
-    let upstream_id = placement.id.clone();
+    let (key, upstream_id) = (placement.key, placement.id.clone());
     let progress = state.take();
     let earlier = progress.earlier_cause();
     match dispatch::send(node_state, request, progress, placement, options).await {
@@ -368,9 +402,17 @@
             }
         }
 
+        SendResult::Aborted => {
+            state.sends += 1;
+            trace.add("aborted", format!("at {upstream_id}: a prompt segment was rejected"));
+            AttemptResult::Failed(unknown_outcome(UnknownCause::Aborted))
+        }
+
         SendResult::Lost(sent, cause) => {
             state.sends += 1;
             trace.add("lost", format!("at {upstream_id}: {}", cause.code()));
+            state.is_trial = false;
+            state.record_loss(node_state, request, key, cause, trace).await;
             match take_retry_if_repeatable(node_state, request, state) {
                 Some(repeatable) => {
                     state.progress = Some(sent.retry(repeatable, cause));
@@ -386,7 +428,9 @@
 /// Returns whether the request may be sent once more with at least `reserve` further sends left.
 /// The route's `attempts_max` is the maximum number of sends that may have run the request.
 pub fn may_retry(request: &RoutedRequest, state: &RequestState, reserve: u32) -> bool {
-    state.sends + reserve < request.route().attempts_max && ms_until(request.deadline) > 0
+    state.sends + reserve < request.route().attempts_max
+        && state.crashes < CRASHES_PER_REQUEST_MAX
+        && ms_until(request.deadline) > 0
 }
 
 /// Takes a retry after a failure from the service's retry budget. Returns whether it had one left.
--- a/crates/fescuelock-gateway/src/upstream.rs
+++ b/crates/fescuelock-gateway/src/upstream.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Returns a hash of this incarnation of the upstream that is the same on all nodes.
+    pub fn incarnation_hash(&self) -> u64 {
+        self.hash ^ self.record.started_at_ms.unwrap_or(0).rotate_left(32)
+    }
+
     /// Returns whether the upstream accepts new requests.
     pub fn is_ready(&self, now_ms: u64) -> bool {
         self.record.state == UpstreamState::Ready
--- a/crates/fescuelock-gateway/src/watcher.rs
+++ b/crates/fescuelock-gateway/src/watcher.rs
@@ -13,6 +13,7 @@
 use slog::{info, warn};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::crashes;
 use crate::node_state::NodeState;
 
 /// Longest wait of one watch call, in milliseconds. Long waits save calls; connections that stop
@@ -223,7 +224,7 @@
 
             Collection::Evacuations => self.set_evacuated(names),
 
-            Collection::Deployment | Collection::Nodes => {}
+            Collection::Deployment | Collection::Nodes | Collection::RejectedPrompts => {}
         }
         for resource in listing.resources {
             self.apply(resource, is_first);
@@ -250,7 +251,7 @@
                 self.set_evacuated(zones);
             }
 
-            Collection::Deployment | Collection::Nodes => {}
+            Collection::Deployment | Collection::Nodes | Collection::RejectedPrompts => {}
         }
     }
 
@@ -345,7 +346,7 @@
                 self.set_evacuated(zones);
             }
 
-            Collection::Deployment | Collection::Nodes => {}
+            Collection::Deployment | Collection::Nodes | Collection::RejectedPrompts => {}
         }
     }
 
@@ -365,6 +366,7 @@
     loop {
         sleep(Duration::from_millis(EXPIRY_CHECK_INTERVAL_MS)).await;
         let now_ms = node_state.now_ms();
+        crashes::announce_verdicts(&node_state);
         let expired = node_state.fleet().remove_expired(now_ms);
         for id in expired {
             info!(node_state.logger,
--- a/crates/fescuelock-operators/src/explain.rs
+++ b/crates/fescuelock-operators/src/explain.rs
@@ -231,9 +231,16 @@
     fn is_relevant(&self, request_id: &str) -> bool {
         match self.message.as_str() {
             "decision" | "request ended" => self.text("request") == request_id,
-            message => {
-                self.fields.contains_key("upstream") || NODE_STATE_MESSAGES.contains(&message)
-            }
+            message => !self.subject().is_empty() || NODE_STATE_MESSAGES.contains(&message),
+        }
+    }
+
+    /// Returns the upstream or prompt segment that a line about the node's state concerns, or an
+    /// empty text if it concerns every request.
+    fn subject(&self) -> &str {
+        match self.text("upstream") {
+            "" => self.text("segment"),
+            upstream => upstream,
         }
     }
 
@@ -252,9 +259,10 @@
         let message = match self.message.as_str() {
             "store lost" | "store regained" => "store",
             _ if self.fields.contains_key("upstream") => "upstream",
+            _ if self.fields.contains_key("segment") => "segment",
             message => message,
         };
-        (message, self.text("upstream"), self.text("collection"))
+        (message, self.subject(), self.text("collection"))
     }
 }
 
@@ -299,9 +307,9 @@
     let before =
         entries.iter().filter(|entry| entry.node == end_entry.node && entry.at <= end_entry.at);
     for entry in before.filter(|entry| !matches!(&*entry.message, "decision" | "request ended")) {
-        let upstream = entry.text("upstream");
-        let is_used = || decisions.iter().any(|decision| decision.inputs.contains(upstream));
-        if upstream.is_empty() || is_used() {
+        let subject = entry.subject();
+        let is_used = || decisions.iter().any(|decision| decision.inputs.contains(subject));
+        if subject.is_empty() || is_used() {
             let age = arrived - entry.at;
             let state_change = StateChange {
                 age_ms: i64::try_from(age.whole_milliseconds()).unwrap_or(i64::MAX),
@@ -353,7 +361,15 @@
         "refused" => last_decision(&["refused", "turned away", "not sent"]),
         "served" if !is_late => "none: served within the latency target".to_owned(),
         "served" => slowest_decision(hop),
-        _ => last_decision(&["lost", "repeated", "answer cut", "cut", "not resumed"]),
+        _ => last_decision(&[
+            "lost",
+            "repeated",
+            "answer cut",
+            "cut",
+            "not resumed",
+            "aborted",
+            "refused",
+        ]),
     }
 }
 
--- a/crates/fescuelock-operators/tests/explain.rs
+++ b/crates/fescuelock-operators/tests/explain.rs
@@ -79,3 +79,26 @@
     let nodes: Vec<&str> = explanation.hops.iter().map(|hop| hop.node.as_str()).collect();
     assert_eq!(nodes, ["edge-1", "edge-3"]);
 }
+
+#[test]
+fn rejected_prompt() {
+    let line = |at: &str, message: &str, fields: &str| {
+        format!(r#"{{"msg":"{message}","ts":"2026-04-27T21:10:0{at}Z","node":"edge-1",{fields}}}"#)
+    };
+    let refused = r#""inputs":"segment dead crashes upstreams","what":"refused","at_ms":0"#;
+    let ended = r#""total_ms":0,"first_ms":0,"status":503,"outcome":"refused","decisions":1"#;
+    let lines = [
+        line("1.0", "prompt segment suspected", r#""segment":"dead","crashes":1,"nodes":1"#),
+        line("2.0", "prompt segment rejected", r#""segment":"dead","crashes":3,"nodes":2"#),
+        line("2.5", "prompt segment rejected", r#""segment":"beef","crashes":3,"nodes":2"#),
+        line("4.0", "decision", &format!(r#"{refused},"request":"d1""#)),
+        line("4.0", "request ended", &format!(r#"{ended},"request":"d1""#)),
+    ];
+    let explanation = explain("d1", lines).unwrap();
+    let hop = &explanation.hops[0];
+    assert_eq!(hop.cause, "refused after 0 ms: segment dead crashes upstreams");
+    // The verdict on the segment, and not that on another one.
+    assert_eq!(hop.state_changes.len(), 1, "{hop:?}");
+    assert_eq!(hop.state_changes[0].message, "prompt segment rejected");
+    assert_eq!(hop.state_changes[0].fields["crashes"], 3);
+}
--- a/crates/fescuelock-policy/src/lib.rs
+++ b/crates/fescuelock-policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod cold_start;
+pub mod crash_evidence;
 pub mod deployment;
 pub mod escalation;
 pub mod health;
--- a/crates/fescuelock-policy/src/placement.rs
+++ b/crates/fescuelock-policy/src/placement.rs
@@ -86,6 +86,13 @@
     costs.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
 }
 
+/// Returns the index of the upstream that all nodes choose for a prompt segment by rendezvous
+/// hashing, given the hashes of the upstreams' ids.
+pub fn choose_by_hash(segment: u64, upstreams: impl Iterator<Item = u64>) -> Option<usize> {
+    let scores = upstreams.map(|upstream| hash_pair(segment, upstream));
+    scores.enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
+}
+
 /// Hashes a pair of ids to a number in [0, 1) that is the same on every node. Serves as the score
 /// of rendezvous hashing, where the lowest wins, and as a fixed draw for a session.
 pub fn hash_pair(a: u64, b: u64) -> f64 {
--- a/crates/fescuelock-store/src/resources.rs
+++ b/crates/fescuelock-store/src/resources.rs
@@ -22,6 +22,8 @@
     Evacuations,
     /// The router's own nodes.
     Nodes,
+    /// The router's verdicts on prompts that crash upstreams.
+    RejectedPrompts,
 }
 
 /// `Resource` is the state of one resource at one revision.
@@ -69,6 +71,10 @@
     /// Lists the current content of a collection.
     fn list(&self, collection: Collection) -> BoxFuture<'_, Result<Listing>>;
 
+    /// Lists the content of a collection as it is or was some seconds ago, which costs the store
+    /// less than [`ResourceStore::list`].
+    fn list_stale(&self, collection: Collection) -> BoxFuture<'_, Result<Listing>>;
+
     /// Waits until a collection changes after a revision, for at most `wait_ms` milliseconds.
     ///
     /// Fails with [`crate::Error::RevisionExpired`] if the changes since then are no longer available.
