gateway: Resume streams that end before their first event

What callers saw: an engine may answer with neither a length nor chunks and end with its connection. When such an engine ended before it wrote an event, the caller got an empty stream that looked complete.

Cause: the end of the connection is the end of such a body, and the relay only took it for an interruption within an event.

Change: a stream that ends without any event is interrupted, and goes on at another engine.

Result: `stream_without_events` failed before (empty body) and passes; streams that are whole, cut within an event, and plain answers of this form have tests that passed before and after.

--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -187,7 +187,10 @@
             let chunk = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_)) => break UnknownCause::AnswerCut,
-                None if self.reader.has_partial() => break UnknownCause::AnswerCut,
+                // A response without length ends with its connection, also if the engine ends.
+                None if self.reader.has_partial() || self.reader.last_id().is_none() => {
+                    break UnknownCause::AnswerCut;
+                }
                 None => {
                     // Connections of streams are not reused.
                     drop(connection);
