gateway: Log the limits that upstreams state

Cause: no line told that an upstream had stated a limit, so a limit that is not read could not be told from one that is exceeded.

Requests are placed as before.

--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -383,6 +383,7 @@
         );
         return Some(UnknownCause::AnswerInvalid);
     }
+    record_stated_limit(node_state, upstream_response);
     let now_ms = node_state.now_ms();
     let is_failure = upstream_response.status.is_server_error()
         && !upstream_response.parsed_headers.upstream_did_not_run;
@@ -447,6 +448,30 @@
     None
 }
 
+/// Records the rate limit that an upstream states in a response, and logs it if it has changed.
+fn record_stated_limit(node_state: &NodeState, upstream_response: &UpstreamResponse) {
+    let UpstreamResponse { parsed_headers, placement, .. } = upstream_response;
+    if parsed_headers.is_misdirected {
+        return;
+    }
+    let stated_per_s = parsed_headers.rate_limit_per_s;
+    let mut fleet = node_state.fleet();
+    let previous_per_s = fleet
+        .upstream_mut(placement.key)
+        .map(|upstream| std::mem::replace(&mut upstream.stated_limit_per_s, stated_per_s));
+    drop(fleet);
+    match (previous_per_s.flatten(), stated_per_s) {
+        (previous_per_s, Some(per_s)) if previous_per_s != Some(per_s) => {
+            info!(node_state.logger, "upstream states a limit"; "upstream" => &placement.id,
+                "per_s" => per_s);
+        }
+        (Some(_), None) => {
+            info!(node_state.logger, "upstream limit ended"; "upstream" => &placement.id);
+        }
+        _ => {}
+    }
+}
+
 /// Returns the cause of an unknown outcome for an error of the connection.
 fn unknown_cause(error: &HttpError) -> UnknownCause {
     match error {
