gateway: Keep to the rate limits that upstreams state

Cause: the limit in an upstream's answers was not read. The class of fault is a limit on the sum over all nodes that no node keeps a share of.

Change: the limit is kept by upstream, with the time of the answer that stated it, and travels in the nodes' reports. Every send passes through it: first sends, retries, escalations and resumed streams. Only an answer to a later request that states no limit ends it. What does not fit goes to other upstreams; where there are none, a request is refused with the time until the limit allows one. Estimates of placements no longer take permits.

--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -22,6 +22,7 @@
 
 use crate::crashes;
 use crate::handler::RoutedRequest;
+use crate::limits;
 use crate::metrics::LabelledCounter;
 use crate::node_state::NodeState;
 use crate::placement::Placement;
@@ -448,27 +449,21 @@
     None
 }
 
-/// Records the rate limit that an upstream states in a response, and logs it if it has changed.
+/// Records the rate limit that an upstream states in a response, and tells the other nodes if it has
+/// changed.
 fn record_stated_limit(node_state: &NodeState, upstream_response: &UpstreamResponse) {
-    let UpstreamResponse { parsed_headers, placement, .. } = upstream_response;
+    let UpstreamResponse { parsed_headers, placement, elapsed_ms, .. } = upstream_response;
     if parsed_headers.is_misdirected {
         return;
     }
-    let stated_per_s = parsed_headers.rate_limit_per_s;
-    let mut fleet = node_state.fleet();
-    let previous_per_s = fleet
-        .upstream_mut(placement.key)
-        .map(|upstream| std::mem::replace(&mut upstream.stated_limit_per_s, stated_per_s));
-    drop(fleet);
-    match (previous_per_s.flatten(), stated_per_s) {
-        (previous_per_s, Some(per_s)) if previous_per_s != Some(per_s) => {
-            info!(node_state.logger, "upstream states a limit"; "upstream" => &placement.id,
-                "per_s" => per_s);
-        }
-        (Some(_), None) => {
-            info!(node_state.logger, "upstream limit ended"; "upstream" => &placement.id);
-        }
-        _ => {}
+    let now_ms = node_state.now_ms();
+    let sent_ms = now_ms.saturating_sub(elapsed_ms.ceil() as u64);
+    let change = node_state.fleet().upstream_mut(placement.key).and_then(|upstream| {
+        upstream.stated_limit.record_answer(parsed_headers.rate_limit_per_s, sent_ms, now_ms)
+    });
+    if let Some(change) = change {
+        limits::announce(node_state, &placement.id, "answer", change);
+        node_state.report_soon.notify_one();
     }
 }
 
--- a/crates/fescuelock-gateway/src/escalate.rs
+++ b/crates/fescuelock-gateway/src/escalate.rs
@@ -49,6 +49,7 @@
         // also be the best one for the largest model.
         let placement_request = PlacementRequest {
             tried: &state.tried[..state.tried.len() - 1],
+            is_estimate: true,
             ..build_placement_request(request, Some(largest), &allowed_regions, state)
         };
         let mut fleet = node_state.fleet();
--- a/crates/fescuelock-gateway/src/fleet.rs
+++ b/crates/fescuelock-gateway/src/fleet.rs
@@ -12,6 +12,7 @@
 use fescuelock_policy::placement::hash_name;
 use fescuelock_policy::prefill_time::PrefillTimes;
 use fescuelock_policy::prompt::Prompt;
+use fescuelock_policy::stated_limit::{LimitChange, LimitReport};
 use fescuelock_policy::upstream::{UpstreamRecord, UpstreamState};
 
 use crate::rollouts::{PendingStateWrite, Rollouts};
@@ -27,6 +28,9 @@
 /// Age at which another node's report is discarded, in milliseconds.
 const REPORT_MAX_AGE_MS: u64 = 2_500;
 
+/// Maximum number of upstreams' limits in one report.
+const LIMIT_REPORTS_MAX: usize = 64;
+
 /// `UpstreamStats` holds the load and the outcomes of one node at an upstream.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct UpstreamStats {
@@ -290,6 +294,40 @@
         self.upstreams.get_mut(&key)
     }
 
+    /// Returns what other nodes should know of the limits that upstreams state, by hash of the
+    /// upstream's incarnation.
+    pub fn limit_reports(&self, is_full: bool, now_ms: u64) -> Vec<(u64, LimitReport)> {
+        let reports = self.upstreams.values().filter_map(|upstream| {
+            let report = upstream.stated_limit.report(is_full, now_ms)?;
+            Some((upstream.incarnation_hash(), report))
+        });
+        reports.take(LIMIT_REPORTS_MAX).collect()
+    }
+
+    /// Merges another node's reports of limits. Returns the changes, with the upstreams' ids.
+    pub fn apply_limit_reports(
+        &mut self,
+        reports: &HashMap<u64, LimitReport>,
+        now_ms: u64,
+    ) -> Vec<(String, LimitChange)> {
+        if reports.is_empty() {
+            return Vec::new();
+        }
+        let changes = self.upstreams.values_mut().filter_map(|upstream| {
+            let report = reports.get(&upstream.incarnation_hash())?;
+            let change = upstream.stated_limit.apply_report(report, now_ms)?;
+            Some((upstream.record.id.clone(), change))
+        });
+        changes.collect()
+    }
+
+    /// Returns the number of upstreams that state a limit.
+    pub fn limited_count(&self) -> usize {
+        let limited =
+            self.upstreams.values().filter(|upstream| upstream.stated_limit.per_s().is_some());
+        limited.count()
+    }
+
     /// Iterates over the ready upstreams of a service.
     pub(crate) fn ready_upstreams<'a>(
         &'a self,
--- a/crates/fescuelock-gateway/src/metrics.rs
+++ b/crates/fescuelock-gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     Ejections,
     /// Changes of the verdict on a prompt segment, by the new state.
     SegmentVerdicts,
+    /// Changes of the limits that upstreams state, by the new state.
+    LimitChanges,
 }
 
 /// `Gauge` identifies a value that is read when metrics are scraped.
@@ -66,6 +68,8 @@
     LogLinesDropped,
     /// Prompt segments that are rejected because they crash engines.
     SegmentsRejected,
+    /// Upstreams that state a limit.
+    UpstreamsLimited,
 }
 
 impl LatencyHistogram {
@@ -90,12 +94,13 @@
 
 impl LabelledCounter {
     /// All labelled counters.
-    pub const ALL: [LabelledCounter; 5] = [
+    pub const ALL: [LabelledCounter; 6] = [
         LabelledCounter::Refusals,
         LabelledCounter::Failures,
         LabelledCounter::ModelSizes,
         LabelledCounter::Ejections,
         LabelledCounter::SegmentVerdicts,
+        LabelledCounter::LimitChanges,
     ];
 
     /// Returns the exported name of the counter, without its prefix.
@@ -106,13 +111,14 @@
             LabelledCounter::ModelSizes => "model_sizes",
             LabelledCounter::Ejections => "ejections",
             LabelledCounter::SegmentVerdicts => "segment_verdicts",
+            LabelledCounter::LimitChanges => "limit_changes",
         }
     }
 }
 
 impl Gauge {
     /// All gauges.
-    pub const ALL: [Gauge; 9] = [
+    pub const ALL: [Gauge; 10] = [
         Gauge::RequestsInFlight,
         Gauge::RequestsWaiting,
         Gauge::UpstreamsReady,
@@ -122,6 +128,7 @@
         Gauge::StoreAgeMs,
         Gauge::LogLinesDropped,
         Gauge::SegmentsRejected,
+        Gauge::UpstreamsLimited,
     ];
 
     /// Returns the exported name of the gauge, without its prefix.
@@ -136,6 +143,7 @@
             Gauge::StoreAgeMs => "store_age_ms",
             Gauge::LogLinesDropped => "log_lines_left_out",
             Gauge::SegmentsRejected => "segments_rejected",
+            Gauge::UpstreamsLimited => "upstreams_limited",
         }
     }
 }
--- a/crates/fescuelock-gateway/src/peers.rs
+++ b/crates/fescuelock-gateway/src/peers.rs
@@ -13,6 +13,7 @@
 use fescuelock_platform::records::NodeRecord;
 use fescuelock_policy::crash_evidence::{Crash, ReportedCrash, SegmentReport};
 use fescuelock_policy::rollout::{Counts, Stage, Tally};
+use fescuelock_policy::stated_limit::LimitReport;
 use fescuelock_store::Error as StoreError;
 use fescuelock_store::resources::{Collection, SharedResources};
 use serde::{Deserialize, Serialize};
@@ -22,6 +23,7 @@
 
 use crate::crashes;
 use crate::fleet::UpstreamStats;
+use crate::limits;
 use crate::node_state::NodeState;
 use crate::rollouts::{RolloutUpdate, TallyKey};
 use crate::upstream::Load;
@@ -82,6 +84,10 @@
     /// Evidence on prompt segments that crash engines. Older versions send none.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     segments: Vec<EncodedSegment>,
+    /// Limits that upstreams state: hash of the upstream's incarnation, requests per second or
+    /// `None` if it states none any more, and age in milliseconds. Older versions send none.
+    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+    limits: Vec<(u64, Option<f64>, u32)>,
 }
 
 /// `EncodedSegment` is the encoded form of a [`SegmentReport`].
@@ -328,6 +334,8 @@
         });
         let rollouts = fleet.rollouts.updates(includes_relayed, now_ms);
         let segments = fleet.crash_evidence.reports(includes_relayed, now_ms);
+        let limits = fleet.limit_reports(includes_relayed, now_ms).into_iter();
+        let limits = limits.map(|(upstream, report)| (upstream, report.per_s, report.age_ms));
         let report = Report {
             name: self.node_state.settings.name.clone(),
             address: self.address,
@@ -337,6 +345,7 @@
             upstreams: upstreams.collect(),
             rollouts: rollouts.into_iter().map(RolloutReport::from).collect(),
             segments: segments.into_iter().map(EncodedSegment::from).collect(),
+            limits: limits.collect(),
         };
         let mut bytes = Vec::new();
         match ciborium::into_writer(&report, &mut bytes) {
@@ -381,8 +390,16 @@
             fleet.rollouts.apply_update(rollout.into(), now_ms);
         }
         let segments: Vec<SegmentReport> = report.segments.into_iter().map(Into::into).collect();
-        let has_news = fleet.crash_evidence.apply_reports(&segments, now_ms);
+        let mut has_news = fleet.crash_evidence.apply_reports(&segments, now_ms);
+        let limits = report.limits.into_iter();
+        let limits: HashMap<u64, LimitReport> =
+            limits.map(|(hash, per_s, age_ms)| (hash, LimitReport { per_s, age_ms })).collect();
+        let limit_changes = fleet.apply_limit_reports(&limits, now_ms);
         drop(fleet);
+        for (upstream, change) in limit_changes {
+            limits::announce(&self.node_state, &upstream, "report", change);
+            has_news = true;
+        }
         if has_news {
             crashes::announce_verdicts(&self.node_state);
             self.node_state.report_soon.notify_one();
--- a/crates/fescuelock-gateway/src/placement.rs
+++ b/crates/fescuelock-gateway/src/placement.rs
@@ -6,6 +6,7 @@
 use fescuelock_policy::health;
 use fescuelock_policy::placement::{self, Candidate, PlacementOptions};
 use fescuelock_policy::prompt::Prompt;
+use fescuelock_policy::stated_limit;
 
 use crate::fleet::Fleet;
 use crate::rollouts::VersionChoice;
@@ -51,6 +52,8 @@
     pub has_crashed: bool,
     /// Whether the request is the trial of a rejected prompt segment.
     pub is_trial: bool,
+    /// Whether only an estimate is needed and nothing is sent, so that no rate limit is used up.
+    pub is_estimate: bool,
 }
 
 /// `Placement` is the placement of a request: the selected upstream, and the values the selection
@@ -170,18 +173,24 @@
             None => placement::choose_cheapest(&candidates, request.target_left_ms, &options),
         };
         let Some(chosen) = chosen else {
-            return Err(PlacementError::AtCapacity(self.time_to_capacity_ms(&matching_version)));
+            return Err(PlacementError::AtCapacity(
+                self.time_to_capacity_ms(&matching_version, now_ms),
+            ));
         };
         let candidate = candidates[chosen];
         let loads_age_ms = self.loads_age_ms(now_ms);
         let key = keys[chosen];
         let cold_rate = self.cold_start_rate(request.pool, &self.upstreams[&key]);
+        let limit_rate_per_s = self.stated_limit_rate_per_s(&self.upstreams[&key]);
         let count = candidates.len();
         let upstream = self.upstreams.get_mut(&key).expect("candidates are known upstreams");
         let is_cold = now_ms < upstream.cold_until_ms && request.pool.warmup_per_s > 0.0;
-        if is_cold {
+        if is_cold && !request.is_estimate {
             upstream.cold_bucket.take_token(cold_rate, now_ms);
         }
+        if !request.is_estimate {
+            upstream.stated_limit.take_token(limit_rate_per_s, now_ms);
+        }
         let uncached_tokens = match request.model {
             Some(model) => upstream.uncached_tokens(model, request.prompt, now_ms),
             None => 0,
@@ -244,7 +253,31 @@
         let is_cold = now_ms < upstream.cold_until_ms && request.pool.warmup_per_s > 0.0;
         let has_token =
             || upstream.cold_bucket.has_token(self.cold_start_rate(request.pool, upstream), now_ms);
-        occupancy < occupancy_max && (!is_cold || has_token())
+        occupancy < occupancy_max
+            && (!is_cold || has_token())
+            && self.stated_limit_wait_ms(upstream, now_ms) <= 0.0
+    }
+
+    /// Returns this node's share of the rate limit that an upstream states, in requests per second.
+    fn stated_limit_rate_per_s(&self, upstream: &Upstream) -> f64 {
+        let Some(per_s) = upstream.stated_limit.per_s() else {
+            return 0.0;
+        };
+        let rank =
+            cold_start::node_rank(self.node_hash, self.node_hashes.iter().copied(), upstream.hash);
+        stated_limit::node_rate_per_s(per_s, rank, self.node_hashes.len())
+    }
+
+    /// Returns the time until this node's share of an upstream's stated limit allows a request, in
+    /// milliseconds.
+    fn stated_limit_wait_ms(&self, upstream: &Upstream, now_ms: u64) -> f64 {
+        match upstream.stated_limit.per_s() {
+            Some(_) => {
+                let rate_per_s = self.stated_limit_rate_per_s(upstream);
+                upstream.stated_limit.wait_ms(rate_per_s, now_ms)
+            }
+            None => 0.0,
+        }
     }
 
     /// Returns this node's share of the rate limit of a cold upstream.
@@ -309,12 +342,13 @@
         }
     }
 
-    /// Estimates the time until one of the upstreams has capacity, in milliseconds, from latency
-    /// and occupancy. Rate limits of cold upstreams are not considered.
-    fn time_to_capacity_ms(&self, upstreams: &[(UpstreamKey, &Upstream)]) -> f64 {
+    /// Estimates the time until one of the upstreams has capacity, in milliseconds, from latency,
+    /// occupancy and stated limits. Rate limits of cold upstreams are not considered.
+    fn time_to_capacity_ms(&self, upstreams: &[(UpstreamKey, &Upstream)], now_ms: u64) -> f64 {
         let times = upstreams.iter().map(|(_, upstream)| {
             let load_ratio = f64::from(upstream.in_flight()) / f64::from(upstream.record.slots);
-            upstream.latency_ms * load_ratio.max(1.0)
+            let free_in_ms = upstream.latency_ms * load_ratio.max(1.0);
+            free_in_ms.max(self.stated_limit_wait_ms(upstream, now_ms))
         });
         times.fold(f64::INFINITY, f64::min)
     }
--- a/crates/fescuelock-gateway/src/upstream.rs
+++ b/crates/fescuelock-gateway/src/upstream.rs
@@ -9,6 +9,7 @@
 use fescuelock_policy::health::Health;
 use fescuelock_policy::placement::hash_name;
 use fescuelock_policy::prompt::Prompt;
+use fescuelock_policy::stated_limit::StatedLimit;
 use fescuelock_policy::upstream::{UpstreamRecord, UpstreamState};
 
 /// `UpstreamKey` identifies one incarnation of an upstream on this node. Keys are never reused.
@@ -87,8 +88,8 @@
     pub remove_at_ms: Option<u64>,
     /// Time of the last byte of any answer, in milliseconds.
     pub last_byte_ms: u64,
-    /// Rate limit that the upstream stated in its last answer, in requests per second.
-    pub stated_limit_per_s: Option<f64>,
+    /// Rate limit that the upstream states, and this node's share of it.
+    pub stated_limit: StatedLimit,
     /// Moving average of the latency of plain answers, in milliseconds.
     pub latency_ms: f64,
     /// Moving average of the ratio of measured to expected time to the first event; above 1 if the
@@ -128,7 +129,7 @@
             queues_updated_ms: now_ms,
             remove_at_ms: None,
             last_byte_ms: now_ms,
-            stated_limit_per_s: None,
+            stated_limit: StatedLimit::default(),
             latency_ms: LATENCY_DEFAULT_MS,
             first_event_ratio: 1.0,
             outcome_counts: (0, 0),
