policy: Compare a new version at the load of the old one

Cause: until its last stage a new version took 8 to 25% of the sessions, spread over all of its upstreams. Idle upstreams answer faster, so the version looked as fast as the old one under load. And the test compared means, which hide a version that is slow on a part of its answers.

Evidence: with every sample in the log, the mean logarithm of the interval between events was -0.4 to -0.8 at the canary stage for a version that is five times slower.

Change: before the last stage the new version's sessions go to so few of its upstreams, the same on all nodes, that each has about the load of an old one. Samples at least twice the baseline are counted, and their share is compared with the old version's. Reports carry the counts in a field of its own, which older versions ignore.

`slow_at_low_load` replays the load pattern and passes.

--- a/crates/fescuelock-gateway/src/peers.rs
+++ b/crates/fescuelock-gateway/src/peers.rs
@@ -123,6 +123,10 @@
     /// Run id, route hash and the counts of [`Tally`] in the order of its fields.
     #[serde(rename = "t")]
     tallies: Vec<(u64, u64, [u32; 10])>,
+    /// Slow samples of the new and the old version, for each of `tallies`. Older versions send
+    /// none.
+    #[serde(rename = "w", default)]
+    slow_samples: Vec<(u32, u32)>,
 }
 
 /// `Peer` is what this node knows of another node.
@@ -457,6 +461,10 @@
             elapsed_ms: update.elapsed_ms,
             stage: update.stage as u8,
             is_rejected: update.is_rejected,
+            slow_samples: tallies
+                .clone()
+                .map(|(_, tally)| (tally.new.slow_samples, tally.old.slow_samples))
+                .collect(),
             tallies: tallies
                 .map(|(key, tally)| (key.run_id, key.route, encode_counts(tally)))
                 .collect(),
@@ -466,7 +474,8 @@
 
 impl From<RolloutReport> for RolloutUpdate {
     fn from(report: RolloutReport) -> Self {
-        let tallies = report.tallies.into_iter();
+        let slow_samples = report.slow_samples.into_iter().chain(std::iter::repeat((0, 0)));
+        let tallies = report.tallies.into_iter().zip(slow_samples);
         RolloutUpdate {
             pool: report.pool,
             version: report.version,
@@ -479,7 +488,12 @@
             },
             is_rejected: report.is_rejected,
             tallies: tallies
-                .map(|(run_id, route, counts)| (TallyKey { run_id, route }, decode_counts(counts)))
+                .map(|((run_id, route, counts), (new_slow, old_slow))| {
+                    let mut tally = decode_counts(counts);
+                    tally.new.slow_samples = new_slow;
+                    tally.old.slow_samples = old_slow;
+                    (TallyKey { run_id, route }, tally)
+                })
                 .collect(),
         }
     }
@@ -508,6 +522,7 @@
         failures: counts[first + 2],
         latency_samples: counts[first + 3],
         log_latency_ratios: counts[first + 4],
+        ..Counts::default()
     };
     Tally { new: of(0), old: of(5) }
 }
--- a/crates/fescuelock-gateway/src/placement.rs
+++ b/crates/fescuelock-gateway/src/placement.rs
@@ -4,8 +4,9 @@
 use fescuelock_policy::crash_evidence::PromptVerdict;
 use fescuelock_policy::deployment::{Route, UpstreamPool};
 use fescuelock_policy::health;
-use fescuelock_policy::placement::{self, Candidate, PlacementOptions};
+use fescuelock_policy::placement::{self, Candidate, PlacementOptions, hash_name, hash_pair};
 use fescuelock_policy::prompt::Prompt;
+use fescuelock_policy::rollout;
 use fescuelock_policy::stated_limit;
 
 use crate::fleet::Fleet;
@@ -140,7 +141,7 @@
             })
             .collect();
         let version_choice = self.rollouts.choose(&request.pool.name, request.session);
-        let matching_version = self.matching_version(&eligible, &version_choice);
+        let matching_version = self.matching_version(request, &eligible, &version_choice, now_ms);
         if matching_version.is_empty() {
             return Err(PlacementError::NoCandidate);
         }
@@ -219,8 +220,10 @@
     /// Filters the upstreams by the versions that the request may run on.
     fn matching_version<'a>(
         &self,
+        request: &PlacementRequest<'_>,
         eligible: &[(UpstreamKey, &'a Upstream)],
         version_choice: &VersionChoice,
+        now_ms: u64,
     ) -> Vec<(UpstreamKey, &'a Upstream)> {
         let matching = |accepts: &dyn Fn(&str) -> bool| -> Vec<(UpstreamKey, &'a Upstream)> {
             let matches = eligible.iter().filter(|(_, upstream)| accepts(&upstream.record.version));
@@ -231,6 +234,29 @@
 
             VersionChoice::Except(version) => matching(&|other| other != version),
 
+            VersionChoice::Expose(version, share) => {
+                let mut matches = matching(&|other| other == version);
+                if matches.is_empty() {
+                    return eligible.to_vec();
+                }
+                let old = eligible.len() - matches.len();
+                let count = rollout::exposed_upstreams(*share, old, matches.len());
+                // All nodes choose the same upstreams.
+                let version_hash = hash_name(version);
+                matches.sort_by(|(_, a), (_, b)| {
+                    let scores = [a, b].map(|upstream| hash_pair(version_hash, upstream.hash));
+                    scores[0].total_cmp(&scores[1])
+                });
+                let has_capacity = |(_, upstream): &(UpstreamKey, &Upstream)| {
+                    !upstream.health.is_ejected(now_ms)
+                        && self.has_capacity(request, upstream, now_ms)
+                };
+                if matches.iter().take(count).any(has_capacity) {
+                    matches.truncate(count);
+                }
+                matches
+            }
+
             VersionChoice::Prefer(version) => match matching(&|other| other == version) {
                 matches if matches.is_empty() => eligible.to_vec(),
                 matches => matches,
--- a/crates/fescuelock-gateway/src/rollouts.rs
+++ b/crates/fescuelock-gateway/src/rollouts.rs
@@ -22,7 +22,7 @@
 const BASELINE_WEIGHT: f64 = 0.1;
 
 /// `VersionChoice` selects the versions of a service that a request may run on.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum VersionChoice {
     /// Any version.
     Any,
@@ -30,6 +30,9 @@
     Except(String),
     /// The named version, or any other if it has no eligible upstream.
     Prefer(String),
+    /// The named version, which takes a share of the sessions, at a part of its upstreams; any
+    /// other version if it has no eligible upstream.
+    Expose(String, f64),
 }
 
 /// `TallyKey` identifies the source of counts: one run of a node, and one route.
@@ -179,6 +182,9 @@
         // on a session's version.
         let draw = hash_pair(session, hash_name(version));
         match draw < rollout.stage.share() {
+            true if rollout.stage < Stage::Full => {
+                VersionChoice::Expose(version.clone(), rollout.stage.share())
+            }
             true => VersionChoice::Prefer(version.clone()),
             false => VersionChoice::Except(version.clone()),
         }
--- a/crates/fescuelock-policy/src/rollout.rs
+++ b/crates/fescuelock-policy/src/rollout.rs
@@ -6,6 +6,10 @@
 //! Its share grows in stages. The last stage starts so late that even a version whose fault does
 //! not show stays within the limit on exposure. The pooled counts of all nodes feed a sequential
 //! test that is valid no matter how often it is evaluated.
+//!
+//! Until the last stage, the new version's requests go to so few of its upstreams that each has
+//! about the load of an upstream of the old version. Spread over all of them, a version that is
+//! several times slower looks as fast as the old one, since idle upstreams answer faster.
 
 use std::collections::BTreeMap;
 
@@ -125,6 +129,20 @@
     }
 }
 
+/// Load of an upstream of the new version before [`Stage::Full`], relative to one of the old version.
+/// Its prefix cache is still empty, so equal traffic would be more work.
+const EXPOSED_LOAD_SHARE: f64 = 0.7;
+
+/// Returns the number of the new version's upstreams that get requests while the version takes a
+/// share of the sessions, beside `old_upstreams` upstreams of the old version.
+pub fn exposed_upstreams(share: f64, old_upstreams: usize, new_upstreams: usize) -> usize {
+    if share >= 1.0 {
+        return new_upstreams;
+    }
+    let for_equal_load = share / (1.0 - share) * old_upstreams as f64;
+    ((for_equal_load / EXPOSED_LOAD_SHARE).ceil() as usize).clamp(1, new_upstreams.max(1))
+}
+
 /// Returns whether the exposure limit would hold if the version took all requests from now on and
 /// its fault never showed.
 fn fits_exposure_limit(progress: &RolloutProgress, limit: &ExposureLimit) -> bool {
@@ -162,8 +180,14 @@
     /// of an answer divided by the baseline of the same route and model. `LOG_LATENCY_RATIO_MIN`
     /// is subtracted from each logarithm, so that the sum only grows.
     pub log_latency_ratios: u32,
+    /// Latency samples of which the ratio is at least [`SLOW_RATIO`].
+    pub slow_samples: u32,
 }
 
+/// Latency ratio from which a sample counts as slow. Bad versions are several times slower on a part
+/// of their answers, which a mean over all answers may hide.
+const SLOW_RATIO: f64 = 2.0;
+
 /// Lower limit of the logarithm of a latency ratio; the upper limit is its negative. Ratios below
 /// 1/20 or above 20 add no information.
 const LOG_LATENCY_RATIO_MIN: f64 = -3.0;
@@ -177,6 +201,7 @@
         let log_latency_ratio =
             ratio.max(f64::MIN_POSITIVE).ln().clamp(LOG_LATENCY_RATIO_MIN, -LOG_LATENCY_RATIO_MIN);
         self.latency_samples += 1;
+        self.slow_samples += u32::from(ratio >= SLOW_RATIO);
         self.log_latency_ratios +=
             ((log_latency_ratio - LOG_LATENCY_RATIO_MIN) * LOG_LATENCY_RATIO_SCALE).round() as u32;
     }
@@ -195,6 +220,7 @@
             failures: with(self.failures, other.failures),
             latency_samples: with(self.latency_samples, other.latency_samples),
             log_latency_ratios: with(self.log_latency_ratios, other.log_latency_ratios),
+            slow_samples: with(self.slow_samples, other.slow_samples),
         }
     }
 
@@ -251,6 +277,14 @@
 const FAILURE_HYPOTHESIS: FailureHypothesis =
     FailureHypothesis { baseline_min: 0.03, excess: 0.15 };
 
+/// A bad version answers a large part of its requests several times slower. Long prompts of other
+/// requests delay some answers of a good one.
+const SLOW_SHARE_HYPOTHESIS: FailureHypothesis =
+    FailureHypothesis { baseline_min: 0.1, excess: 0.15 };
+
+/// Largest share of slow samples of the old version that is used as the baseline of a new version.
+const OLD_SLOW_SHARE_MAX: f64 = 0.35;
+
 /// Logarithm of the slowdown that the test detects, a factor of three. Bad versions are several
 /// times slower.
 const SLOWDOWN_LOG_THRESHOLD: f64 = 1.1;
@@ -321,6 +355,7 @@
     failures: BTreeMap<u64, CusumTest>,
     latency: BTreeMap<u64, CusumTest>,
     pooled_failures: CusumTest,
+    pooled_slow_share: CusumTest,
 }
 
 impl Evidence {
@@ -342,6 +377,14 @@
             added.new.failures,
             old_failure_share,
         );
+        let old_slow_share =
+            Counts::failure_share(tally.old.slow_samples, tally.old.latency_samples);
+        self.pooled_slow_share.add_failures(
+            SLOW_SHARE_HYPOTHESIS,
+            added.new.latency_samples,
+            added.new.slow_samples,
+            old_slow_share.min(OLD_SLOW_SHARE_MAX),
+        );
         let old_samples = f64::from(tally.old.latency_samples.max(BASELINE_ANSWERS_MIN));
         // Slow upstreams of the old version must not hide a slow new version.
         let old_mean =
@@ -358,6 +401,7 @@
     pub fn is_bad(&self) -> bool {
         self.failures.values().chain(self.latency.values()).any(|test| test.is_bad())
             || self.pooled_failures.is_bad()
+            || self.pooled_slow_share.is_bad()
     }
 
     /// Returns the state of the roll-out after the share `elapsed` of its duration.
@@ -375,6 +419,7 @@
     /// Returns the highest score of any test.
     pub fn score(&self) -> f64 {
         let tests = self.failures.values().chain(self.latency.values());
-        tests.map(|test| test.score).fold(self.pooled_failures.score, f64::max)
+        let pooled = self.pooled_failures.score.max(self.pooled_slow_share.score);
+        tests.map(|test| test.score).fold(pooled, f64::max)
     }
 }
--- a/crates/fescuelock-policy/tests/rollout.rs
+++ b/crates/fescuelock-policy/tests/rollout.rs
@@ -1,7 +1,7 @@
 //! Detection of bad versions, and the limit on the requests to an unproven version.
 
 use fescuelock_policy::rollout::{
-    Evidence, ExposureLimit, RolloutProgress, Stage, Tally, may_complete,
+    Evidence, ExposureLimit, RolloutProgress, Stage, Tally, exposed_upstreams, may_complete,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,10 +19,44 @@
     bad_from_per_s: f64,
     /// The only route with the fault, or `None` if all have it.
     bad_route: Option<u64>,
+    /// Portion of the answers that are slower.
+    slow_portion: f64,
+    /// Whether latency grows with the load of an upstream.
+    is_load_dependent: bool,
+    /// Whether the new version's requests are spread over all of its upstreams.
+    uses_all_upstreams: bool,
 }
 
-const GOOD: Version =
-    Version { failure_share: 0.0, latency_ratio: 1.0, bad_from_per_s: 0.0, bad_route: None };
+const GOOD: Version = Version {
+    failure_share: 0.0,
+    latency_ratio: 1.0,
+    bad_from_per_s: 0.0,
+    bad_route: None,
+    slow_portion: 1.0,
+    is_load_dependent: false,
+    uses_all_upstreams: false,
+};
+
+/// Number of upstreams of each version.
+const UPSTREAMS: usize = 18;
+
+/// Increase of an upstream's latency from idle to its usual load, as a multiple of the idle latency.
+const LOAD_EFFECT: f64 = 1.5;
+
+/// Returns the latency of an upstream of the new version relative to that of one of the old version,
+/// as far as it follows from their loads.
+fn load_ratio(version: Version, stage: Stage) -> f64 {
+    let share = stage.share();
+    if !version.is_load_dependent || share >= 1.0 {
+        return 1.0;
+    }
+    let exposed = match version.uses_all_upstreams {
+        true => UPSTREAMS,
+        false => exposed_upstreams(share, UPSTREAMS, UPSTREAMS),
+    };
+    let load = share / (1.0 - share) * UPSTREAMS as f64 / exposed as f64;
+    (1.0 + LOAD_EFFECT * load) / (1.0 + LOAD_EFFECT)
+}
 
 /// `SimulationResult` is the result of a simulated roll-out.
 struct SimulationResult {
@@ -69,7 +103,11 @@
             (rng.random_range(-1.0..1.0_f64) + rng.random_range(-1.0..1.0_f64)) * 0.9;
         match meets_fault {
             true if rng.random_range(0.0..1.0) < version.failure_share => counts.failures += 1,
-            true => counts.add_latency_ratio(version.latency_ratio * latency_noise.exp()),
+            true => {
+                let is_slow = rng.random_range(0.0..1.0) < version.slow_portion;
+                let ratio = if is_slow { version.latency_ratio } else { 1.0 };
+                counts.add_latency_ratio(ratio * load_ratio(version, stage) * latency_noise.exp());
+            }
             false if rng.random_range(0.0..1.0) < 0.01 => counts.failures += 1,
             false => counts.add_latency_ratio(latency_noise.exp()),
         }
@@ -122,6 +160,35 @@
     }
 }
 
+/// Returns the number of 40 simulated roll-outs of a bad version that are kept.
+fn kept(version: Version) -> usize {
+    let durations_s = [12.0, 16.0];
+    let results = durations_s.iter().flat_map(|&duration_s| {
+        (0..20).map(move |seed| simulate(version, 80.0, duration_s, 1.0, seed))
+    });
+    results.filter(|result| result.is_complete && !result.is_bad).count()
+}
+
+/// A slow version whose upstreams are nearly idle answers as fast as the old one under load.
+#[test]
+fn slow_at_low_load() {
+    let slow = Version { latency_ratio: 3.0, is_load_dependent: true, ..GOOD };
+    let before = Version { uses_all_upstreams: true, ..slow };
+    assert!(load_ratio(before, Stage::Canary) * 3.0 < 1.5, "the pattern hides nothing");
+    assert_eq!(kept(slow), 0);
+    let good = Version { latency_ratio: 1.0, ..slow };
+    assert!(kept(good) >= 38, "{} of 40 good versions are kept", kept(good));
+}
+
+/// The mean latency hides a version that answers a part of its requests several times slower.
+#[test]
+fn slow_portion() {
+    for (latency_ratio, slow_portion) in [(3.0, 0.5), (5.0, 0.35), (8.0, 0.35)] {
+        let slow = Version { latency_ratio, slow_portion, is_load_dependent: true, ..GOOD };
+        assert_eq!(kept(slow), 0, "{slow:?}");
+    }
+}
+
 /// A fault that needs more load than the roll-out brings is not detected, so it is simulated by a
 /// good version. The exposure limit holds nevertheless, also with a burst at the end.
 #[test]
