gateway: Send suspected requests to one engine only

What callers saw: a request with a suspected prompt segment, and the trial of a rejected one, could begin on the smallest model with a low confidence and be sent once more for the largest model. One request so put two engines at risk, and a trial cost two of the three requests that may reach engines after the fifth crash.

Cause: escalation asked for the placement's verdict on the prompt, which allows trials, and did not know of suspicions.

Change: a request whose prompt is suspected, or that is a trial, is not escalated.

--- a/crates/fescuelock-gateway/src/escalate.rs
+++ b/crates/fescuelock-gateway/src/escalate.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use fescuelock_policy::crash_evidence::PromptVerdict;
 use fescuelock_policy::escalation::{self, EscalationCandidate, EscalationOptions};
 use fescuelock_policy::retry_budget::RetryPurpose;
 
@@ -37,6 +38,11 @@
         return None;
     }
     let prompt = &request.parsed_headers.prompt;
+    // A request that may crash its engine stays there, so that one engine at a time is at risk.
+    let verdict = node_state.fleet().prompt_verdict(prompt, node_state.now_ms());
+    if state.is_trial || verdict != PromptVerdict::Allowed {
+        return None;
+    }
     let options = EscalationOptions {
         poor_loss: node_state.fleet().scoring_weights.poor_response_loss_share,
         ..EscalationOptions::default()
