--- a/crates/fescuelock-gateway/src/lib.rs
+++ b/crates/fescuelock-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod readiness;
 pub mod rejections;
 pub mod relay;
+pub mod report;
 pub mod rollouts;
 pub mod serve;
 pub mod trace;
--- a/crates/fescuelock-gateway/src/peers.rs
+++ b/crates/fescuelock-gateway/src/peers.rs
@@ -11,12 +11,10 @@
 use std::time::Duration;
 
 use fescuelock_platform::records::NodeRecord;
-use fescuelock_policy::crash_evidence::{Crash, ReportedCrash, SegmentReport};
-use fescuelock_policy::rollout::{Counts, Stage, Tally};
+use fescuelock_policy::crash_evidence::SegmentReport;
 use fescuelock_policy::stated_limit::LimitReport;
 use fescuelock_store::Error as StoreError;
 use fescuelock_store::resources::{Collection, SharedResources};
-use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
@@ -25,7 +23,7 @@
 use crate::fleet::UpstreamStats;
 use crate::limits;
 use crate::node_state::NodeState;
-use crate::rollouts::{RolloutUpdate, TallyKey};
+use crate::report::{EncodedSegment, Report, RolloutReport};
 use crate::upstream::Load;
 
 /// Interval between reports, in milliseconds.
@@ -61,74 +59,6 @@
 /// milliseconds.
 const WRITER_REPORT_MAX_AGE_MS: u64 = 1_500;
 
-/// `Report` is the message that a node sends to the others. Encoded field names are short because
-/// reports are frequent.
-#[derive(Debug, Serialize, Deserialize)]
-struct Report {
-    /// Name of the sending node.
-    #[serde(rename = "n")]
-    name: String,
-    /// Address at which the sender receives reports.
-    #[serde(rename = "a")]
-    address: SocketAddr,
-    /// Whether the sender reaches the store.
-    #[serde(rename = "s")]
-    reaches_store: bool,
-    /// Hash of the upstream's id, requests in flight, queueing time in milliseconds, answers and
-    /// failures.
-    #[serde(rename = "u")]
-    upstreams: Vec<(u64, u32, u32, u32, u32)>,
-    /// Roll-outs in progress.
-    #[serde(rename = "r")]
-    rollouts: Vec<RolloutReport>,
-    /// Evidence on prompt segments that crash engines. Older versions send none.
-    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
-    segments: Vec<EncodedSegment>,
-    /// Limits that upstreams state: hash of the upstream's incarnation, requests per second or
-    /// `None` if it states none any more, and age in milliseconds. Older versions send none.
-    #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
-    limits: Vec<(u64, Option<f64>, u32)>,
-}
-
-/// `EncodedSegment` is the encoded form of a [`SegmentReport`].
-#[derive(Debug, Serialize, Deserialize)]
-struct EncodedSegment {
-    #[serde(rename = "i")]
-    segment: u64,
-    #[serde(rename = "b")]
-    begun_age_ms: Option<u32>,
-    #[serde(rename = "q")]
-    requested_age_ms: u32,
-    #[serde(rename = "t")]
-    trial_age_ms: Option<u32>,
-    /// Engine, reporting node and age in milliseconds of each crash.
-    #[serde(rename = "c")]
-    crashes: Vec<(u64, u64, u32)>,
-}
-
-/// `RolloutReport` is the encoded form of a [`RolloutUpdate`].
-#[derive(Debug, Serialize, Deserialize)]
-struct RolloutReport {
-    #[serde(rename = "p")]
-    pool: u64,
-    #[serde(rename = "v")]
-    version: u64,
-    #[serde(rename = "e")]
-    elapsed_ms: u64,
-    /// The discriminant of [`Stage`].
-    #[serde(rename = "s")]
-    stage: u8,
-    #[serde(rename = "b")]
-    is_rejected: bool,
-    /// Run id, route hash and the counts of [`Tally`] in the order of its fields.
-    #[serde(rename = "t")]
-    tallies: Vec<(u64, u64, [u32; 10])>,
-    /// Slow samples of the new and the old version, for each of `tallies`. Older versions send
-    /// none.
-    #[serde(rename = "w", default)]
-    slow_samples: Vec<(u32, u32)>,
-}
-
 /// `Peer` is what this node knows of another node.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -418,111 +348,3 @@
         }
     }
 }
-
-impl From<SegmentReport> for EncodedSegment {
-    fn from(report: SegmentReport) -> Self {
-        let crashes = report.crashes.iter();
-        EncodedSegment {
-            segment: report.segment,
-            begun_age_ms: report.begun_age_ms,
-            requested_age_ms: report.requested_age_ms,
-            trial_age_ms: report.trial_age_ms,
-            crashes: crashes
-                .map(|reported| (reported.crash.engine, reported.crash.reporter, reported.age_ms))
-                .collect(),
-        }
-    }
-}
-
-impl From<EncodedSegment> for SegmentReport {
-    fn from(encoded: EncodedSegment) -> Self {
-        let crashes = encoded.crashes.into_iter();
-        SegmentReport {
-            segment: encoded.segment,
-            begun_age_ms: encoded.begun_age_ms,
-            requested_age_ms: encoded.requested_age_ms,
-            trial_age_ms: encoded.trial_age_ms,
-            crashes: crashes
-                .map(|(engine, reporter, age_ms)| ReportedCrash {
-                    crash: Crash { engine, reporter },
-                    age_ms,
-                })
-                .collect(),
-        }
-    }
-}
-
-impl From<RolloutUpdate> for RolloutReport {
-    fn from(update: RolloutUpdate) -> Self {
-        let tallies = update.tallies.iter();
-        RolloutReport {
-            pool: update.pool,
-            version: update.version,
-            elapsed_ms: update.elapsed_ms,
-            stage: update.stage as u8,
-            is_rejected: update.is_rejected,
-            slow_samples: tallies
-                .clone()
-                .map(|(_, tally)| (tally.new.slow_samples, tally.old.slow_samples))
-                .collect(),
-            tallies: tallies
-                .map(|(key, tally)| (key.run_id, key.route, encode_counts(tally)))
-                .collect(),
-        }
-    }
-}
-
-impl From<RolloutReport> for RolloutUpdate {
-    fn from(report: RolloutReport) -> Self {
-        let slow_samples = report.slow_samples.into_iter().chain(std::iter::repeat((0, 0)));
-        let tallies = report.tallies.into_iter().zip(slow_samples);
-        RolloutUpdate {
-            pool: report.pool,
-            version: report.version,
-            elapsed_ms: report.elapsed_ms,
-            stage: match report.stage {
-                0 => Stage::Pending,
-                1 => Stage::Canary,
-                2 => Stage::Ramp,
-                _ => Stage::Full,
-            },
-            is_rejected: report.is_rejected,
-            tallies: tallies
-                .map(|((run_id, route, counts), (new_slow, old_slow))| {
-                    let mut tally = decode_counts(counts);
-                    tally.new.slow_samples = new_slow;
-                    tally.old.slow_samples = old_slow;
-                    (TallyKey { run_id, route }, tally)
-                })
-                .collect(),
-        }
-    }
-}
-
-fn encode_counts(tally: &Tally) -> [u32; 10] {
-    let Tally { new, old } = tally;
-    [
-        new.sends,
-        new.answers,
-        new.failures,
-        new.latency_samples,
-        new.log_latency_ratios,
-        old.sends,
-        old.answers,
-        old.failures,
-        old.latency_samples,
-        old.log_latency_ratios,
-    ]
-}
-
-fn decode_counts(counts: [u32; 10]) -> Tally {
-    let of = |first: usize| Counts {
-        sends: counts[first],
-        answers: counts[first + 1],
-        failures: counts[first + 2],
-        latency_samples: counts[first + 3],
-        log_latency_ratios: counts[first + 4],
-        ..Counts::default()
-    };
-    Tally { new: of(0), old: of(5) }
-}
