policy: Tell rejected callers when a verdict may end

What callers saw: once no further trials of a rejected segment were made, a refusal invited the caller back after one second, and it was refused again.

Cause: the Retry-After time was that of the last trial's delay, which had passed.

Change: without further trials it is the time for which a verdict lasts after the last request, and it is five seconds at least while a trial is due.

Result: `trials_without_end` checks it; it failed before and passes.

--- a/crates/fescuelock-policy/src/crash_evidence.rs
+++ b/crates/fescuelock-policy/src/crash_evidence.rs
@@ -51,8 +51,9 @@
 /// Longest delay of a trial, in milliseconds.
 const TRIAL_DELAY_MAX_MS: i64 = 600_000;
 
-/// Shortest Retry-After time of a rejected request, in milliseconds.
-const RETRY_AFTER_MIN_MS: u64 = 1_000;
+/// Shortest Retry-After time of a rejected request, in milliseconds. When a trial is due, a few
+/// seconds pass until another node makes it and its result is known.
+const RETRY_AFTER_MIN_MS: u64 = 5_000;
 
 /// Time by which each further rank is behind in taking an overdue trial, in milliseconds.
 const TRIAL_RANK_DELAY_MS: i64 = 10_000;
@@ -106,7 +107,8 @@
     Rejected {
         /// The rejected segment.
         segment: u64,
-        /// Time until the next trial of the segment, in milliseconds.
+        /// Time until the next trial of the segment or the earliest end of the verdict, in
+        /// milliseconds.
         retry_after_ms: u64,
     },
 }
@@ -228,7 +230,10 @@
         let holds = |id: &u64| segments.iter().any(|segment| segment.id == *id);
         if let Some(group) = self.rejected.iter().find(|group| group.iter().all(holds)) {
             let segment = group.first().copied().unwrap_or_default();
-            let trial_in_ms = self.trial_due_ms(segment) - to_signed(now_ms);
+            let trial_in_ms = match self.may_be_tried(segment) {
+                true => self.trial_due_ms(segment) - to_signed(now_ms),
+                false => VERDICT_RETENTION_MS,
+            };
             let retry_after_ms = u64::try_from(trial_in_ms).unwrap_or(0).max(RETRY_AFTER_MIN_MS);
             return PromptVerdict::Rejected { segment, retry_after_ms };
         }
@@ -262,7 +267,7 @@
     pub fn take_trial(&mut self, segment: u64, rank: usize, now_ms: u64) -> bool {
         let now_ms = to_signed(now_ms);
         let rank_delay_ms = TRIAL_RANK_DELAY_MS.saturating_mul(i64::try_from(rank).unwrap_or(100));
-        if self.tally(segment, &BTreeSet::new()).crashes >= TRIAL_CRASHES_MAX
+        if !self.may_be_tried(segment)
             || now_ms < self.trial_due_ms(segment).saturating_add(rank_delay_ms)
         {
             return false;
@@ -411,6 +416,11 @@
         Tally { crashes, reporters: reporters.len(), first_ms, engines }
     }
 
+    /// Returns whether further trials of a segment may be made.
+    fn may_be_tried(&self, segment: u64) -> bool {
+        self.tally(segment, &BTreeSet::new()).crashes < TRIAL_CRASHES_MAX
+    }
+
     /// Returns the time from which a trial of a segment may be made.
     fn trial_due_ms(&self, segment: u64) -> i64 {
         let Some(suspect) = self.suspects.get(&segment) else {
--- a/crates/fescuelock-policy/tests/crash_evidence.rs
+++ b/crates/fescuelock-policy/tests/crash_evidence.rs
@@ -187,6 +187,13 @@
         }
     }
     assert!(trials <= ARRIVALS_MAX, "{trials} trials");
+    let verdict = evidence.verdict(&prompt(&[CRASHING], 50), now_ms);
+    let is_invited_back = |retry_after_ms| retry_after_ms < 120_000;
+    assert!(
+        matches!(verdict, PromptVerdict::Rejected { retry_after_ms, .. }
+            if !is_invited_back(retry_after_ms)),
+        "{verdict:?}"
+    );
 }
 
 #[test]
