gateway: Keep an attempt until another one has begun to answer

Callers of an engine that was silent for a while lost their connection, or got a 504, although the engine would have gone on: the router dropped the engine's connection after 1.5 or 3 target intervals (0.6 or 1.5 latency targets before the head) and only then looked for an attempt, a retry in the budget and an engine. Without one of the three nothing was left. The same silence marked the engine cold and left it out, for all of its requests on all nodes at once.

Now three verdicts are apart. A request is sent to a second upstream beside the first one, if one is to be had that is not silent; whichever answers first is used and the other is cancelled. Otherwise it waits until its deadline. A silent upstream gets one new request per half second until it sends something. Only a silence of three seconds counts as a failure. A missing record is no silence. Second sends leave a part of the retry budget to requests that have failed.

--- a/crates/fescuelock-core/src/outcome.rs
+++ b/crates/fescuelock-core/src/outcome.rs
@@ -148,6 +148,13 @@
 }
 
 impl PendingRequest {
+    /// Prepares a second send of a request that may be sent more than once, while its first send is
+    /// still under way without a response.
+    pub fn hedge(_marker: Retryable) -> Self {
+        let progress = RequestProgress { state: PhantomData };
+        PendingRequest::Retrying(progress, UnknownCause::AnswerTimeout)
+    }
+
     /// Marks the request as sent.
     pub fn send(self, permit: &Permit) -> RequestProgress<Sent> {
         match self {
--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -15,13 +15,15 @@
 use fescuelock_platform::protocol::{self, ResponseHead, RouterHeaders};
 use fescuelock_policy::health::Outcome as HealthOutcome;
 use fescuelock_policy::placement::hash_name;
+use fescuelock_policy::silence::HedgeTimeouts;
 use http::{HeaderMap, Request, StatusCode};
 use hyper::body::Incoming;
 use slog::info;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use crate::crashes;
 use crate::handler::RoutedRequest;
+use crate::hedge;
 use crate::limits;
 use crate::metrics::LabelledCounter;
 use crate::node_state::NodeState;
@@ -39,6 +41,10 @@
 /// Connect timeout as a share of the latency target. The rest is left to try another upstream.
 const CONNECT_TARGET_SHARE: f64 = 0.4;
 
+/// Time to wait beyond the deadline for a response that the upstream sent just before its own
+/// deadline, in milliseconds.
+pub const DEADLINE_GRACE_MS: u64 = 60;
+
 /// Minimum connect timeout, in milliseconds: several round trips within a region.
 const CONNECT_MIN_MS: u64 = 40;
 
@@ -95,12 +101,8 @@
     pub engine_priority: Option<u32>,
     /// Id of the last event received, if the attempt resumes a stream.
     pub last_event_id: Option<u64>,
-    /// Time to wait for the response head if the upstream sends nothing for other requests either,
-    /// in milliseconds.
-    pub silence_timeout_ms: u64,
-    /// Time to wait for the response head even if the upstream still responds to other requests, in
-    /// milliseconds.
-    pub response_timeout_ms: u64,
+    /// Time without a response head after which the request is sent to a second upstream.
+    pub hedge_timeouts: HedgeTimeouts,
     /// Whether an idle connection from the pool may be used.
     pub may_reuse_connection: bool,
     /// Whether the request is the trial of a rejected prompt segment.
@@ -199,11 +201,10 @@
     let attempt = progress.send(&permit);
     record_send(node_state, request, &placement, options);
     let sent_at = Instant::now();
+    let response_timeout_ms = ms_until(request.deadline) + DEADLINE_GRACE_MS;
     let result = tokio::select! {
         biased;
-        result = connection.send(upstream_request, options.response_timeout_ms) => result,
-        limit_ms = wait_for_silence(node_state, placement.key, options) =>
-            Err(HttpError::AnswerTimeout { limit_ms }),
+        result = connection.send(upstream_request, response_timeout_ms) => result,
         () = wait_for_rejection(node_state, request, options) => return SendResult::Aborted,
     };
     let elapsed_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
@@ -280,28 +281,6 @@
     }
 }
 
-/// Waits until an upstream has sent no response head or stream data for at least the silence
-/// timeout, or has been removed. Returns the timeout, in milliseconds.
-///
-/// The silence is checked once per timeout, so it may last almost twice as long. Bodies that are
-/// buffered do not count as data.
-async fn wait_for_silence(
-    node_state: &NodeState,
-    key: UpstreamKey,
-    options: &AttemptOptions<'_>,
-) -> u64 {
-    let mut since_ms = node_state.now_ms();
-    loop {
-        sleep(Duration::from_millis(options.silence_timeout_ms)).await;
-        let last_byte_ms = node_state.fleet().upstream(key).map(|upstream| upstream.last_byte_ms);
-        match last_byte_ms {
-            // The upstream is responding to other requests, so this one is still in its queue.
-            Some(last_byte_ms) if last_byte_ms > since_ms => since_ms = last_byte_ms,
-            _ => return options.silence_timeout_ms,
-        }
-    }
-}
-
 /// Records the outcome of a request at an upstream in the upstream's health. If the upstream is
 /// ejected for it, counts the ejection and logs it with `reason`.
 pub fn record_health_outcome(
@@ -384,16 +363,16 @@
         );
         return Some(UnknownCause::AnswerInvalid);
     }
+    hedge::record_byte(node_state, placement);
     record_stated_limit(node_state, upstream_response);
     let now_ms = node_state.now_ms();
     let is_failure = upstream_response.status.is_server_error()
         && !upstream_response.parsed_headers.upstream_did_not_run;
     let mut fleet = node_state.fleet();
-    if let Some(upstream) = fleet.upstream_mut(placement.key) {
-        upstream.last_byte_ms = now_ms;
-        if let Some(warmup_left_ms) = upstream_response.parsed_headers.warmup_left_ms {
-            upstream.cold_until_ms = upstream.cold_until_ms.max(now_ms + warmup_left_ms);
-        }
+    if let Some(warmup_left_ms) = upstream_response.parsed_headers.warmup_left_ms
+        && let Some(upstream) = fleet.upstream_mut(placement.key)
+    {
+        upstream.cold_until_ms = upstream.cold_until_ms.max(now_ms + warmup_left_ms);
     }
     if let (Some(model), true) = (options.model, upstream_response.status.is_success()) {
         let elapsed_ms = upstream_response.elapsed_ms;
--- a/crates/fescuelock-gateway/src/fleet.rs
+++ b/crates/fescuelock-gateway/src/fleet.rs
@@ -294,6 +294,17 @@
         self.upstreams.get_mut(&key)
     }
 
+    /// Returns the upstreams whose silence has just become so long that it counts as a failure, with
+    /// their ids and services.
+    pub fn take_silent_losses(&mut self, now_ms: u64) -> Vec<(UpstreamKey, String, String)> {
+        let lost = self.upstreams.iter_mut().filter_map(|(&key, upstream)| {
+            let record = &upstream.record;
+            let is_lost = upstream.silence.take_loss(now_ms);
+            is_lost.then(|| (key, record.id.clone(), record.pool.clone()))
+        });
+        lost.collect()
+    }
+
     /// Returns what other nodes should know of the limits that upstreams state, by hash of the
     /// upstream's incarnation.
     pub fn limit_reports(&self, is_full: bool, now_ms: u64) -> Vec<(u64, LimitReport)> {
--- a/crates/fescuelock-gateway/src/lib.rs
+++ b/crates/fescuelock-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod event_reader;
 pub mod fleet;
 pub mod handler;
+pub mod hedge;
 pub mod limits;
 pub mod log;
 pub mod metrics;
--- a/crates/fescuelock-gateway/src/metrics.rs
+++ b/crates/fescuelock-gateway/src/metrics.rs
@@ -45,6 +45,10 @@
     SegmentVerdicts,
     /// Changes of the limits that upstreams state, by the new state.
     LimitChanges,
+    /// Silences of upstreams, by state: begun, ended without loss, or lost.
+    Silences,
+    /// Second sends beside an attempt whose upstream is silent, by outcome.
+    SecondSends,
 }
 
 /// `Gauge` identifies a value that is read when metrics are scraped.
@@ -94,13 +98,15 @@
 
 impl LabelledCounter {
     /// All labelled counters.
-    pub const ALL: [LabelledCounter; 6] = [
+    pub const ALL: [LabelledCounter; 8] = [
         LabelledCounter::Refusals,
         LabelledCounter::Failures,
         LabelledCounter::ModelSizes,
         LabelledCounter::Ejections,
         LabelledCounter::SegmentVerdicts,
         LabelledCounter::LimitChanges,
+        LabelledCounter::Silences,
+        LabelledCounter::SecondSends,
     ];
 
     /// Returns the exported name of the counter, without its prefix.
@@ -112,6 +118,8 @@
             LabelledCounter::Ejections => "ejections",
             LabelledCounter::SegmentVerdicts => "segment_verdicts",
             LabelledCounter::LimitChanges => "limit_changes",
+            LabelledCounter::Silences => "silences",
+            LabelledCounter::SecondSends => "second_sends",
         }
     }
 }
--- a/crates/fescuelock-gateway/src/placement.rs
+++ b/crates/fescuelock-gateway/src/placement.rs
@@ -7,6 +7,7 @@
 use fescuelock_policy::placement::{self, Candidate, PlacementOptions, hash_name, hash_pair};
 use fescuelock_policy::prompt::Prompt;
 use fescuelock_policy::rollout;
+use fescuelock_policy::silence;
 use fescuelock_policy::stated_limit;
 
 use crate::fleet::Fleet;
@@ -53,6 +54,9 @@
     pub has_crashed: bool,
     /// Whether the request is the trial of a rejected prompt segment.
     pub is_trial: bool,
+    /// Whether the request is under way at another upstream, which is silent. A silent upstream is
+    /// no alternative then.
+    pub is_hedge: bool,
     /// Whether only an estimate is needed and nothing is sent, so that no rate limit is used up.
     pub is_estimate: bool,
 }
@@ -149,6 +153,13 @@
             matching_version.iter().filter(|(_, upstream)| upstream.health.is_ejected(now_ms));
         let ignore_ejections =
             health::should_ignore_ejections(ejected.count(), matching_version.len());
+        let silent =
+            matching_version.iter().filter(|(_, upstream)| upstream.silence.is_silent()).count();
+        let ignore_silence = silence::should_ignore_silence(silent, matching_version.len());
+        let is_responsive = |upstream: &Upstream| match request.is_hedge {
+            true => !upstream.silence.is_silent(),
+            false => ignore_silence || upstream.silence.accepts(now_ms),
+        };
         let mut candidates = Vec::with_capacity(matching_version.len());
         let mut keys = Vec::with_capacity(matching_version.len());
         let affinity_engine = self.affinity_engine(request, &matching_version);
@@ -156,7 +167,7 @@
             if upstream.health.is_ejected(now_ms) && !ignore_ejections {
                 continue;
             }
-            if self.has_capacity(request, upstream, now_ms) {
+            if is_responsive(upstream) && self.has_capacity(request, upstream, now_ms) {
                 let has_affinity = affinity_engine == Some(key);
                 candidates.push(self.candidate(request, upstream, has_affinity, now_ms));
                 keys.push(key);
@@ -190,6 +201,7 @@
             upstream.cold_bucket.take_token(cold_rate, now_ms);
         }
         if !request.is_estimate {
+            upstream.silence.record_send(now_ms);
             upstream.stated_limit.take_token(limit_rate_per_s, now_ms);
         }
         let uncached_tokens = match request.model {
--- a/crates/fescuelock-gateway/src/queue.rs
+++ b/crates/fescuelock-gateway/src/queue.rs
@@ -164,6 +164,7 @@
         value: request.parsed_headers.prompt.value(),
         has_crashed: state.crashes > 0,
         is_trial: state.is_trial,
+        is_hedge: false,
         is_estimate: false,
     }
 }
--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -1,9 +1,11 @@
 //! Relays a stream from an engine to a caller, and resumes it at another engine if it is
 //! interrupted.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use fescuelock_core::counters::Counter;
 use fescuelock_core::outcome::{RequestProgress, Sent, UnknownCause};
 use fescuelock_http::body::{Body, BodySender};
@@ -11,14 +13,17 @@
 use fescuelock_policy::crash_evidence::BEGUN_EVENTS;
 use fescuelock_policy::health::Outcome as HealthOutcome;
 use fescuelock_policy::placement::hash_name;
+use fescuelock_policy::silence::HedgeTimeouts;
 use http::Response;
 use http_body_util::BodyExt;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use hyper::body::{Frame, Incoming};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::crashes;
 use crate::dispatch::{self, AttemptOptions, UpstreamResponse, ms_until};
 use crate::event_reader::EventReader;
 use crate::handler::RoutedRequest;
+use crate::hedge::{self, FirstAttempt, HedgeProgress, Hedged};
 use crate::metrics::LatencyHistogram;
 use crate::node_state::NodeState;
 use crate::placement::{Placement, PlacementError};
@@ -27,13 +32,15 @@
 use crate::trace::Trace;
 use crate::upstream::UpstreamKey;
 
-/// Stall timeout of a stream whose engine sends nothing for other requests either, as a multiple of
-/// the route's latency target for the interval between events. Long prompts of other requests delay
+/// Time without an event after which a stream is also sent to a second engine if its engine sends
+/// nothing for other requests either, as a multiple of the route's latency target for the interval
+/// between events. Long prompts of other requests delay
 /// events by most of this target.
 const ENGINE_STALL_FACTOR: f64 = 1.5;
 
-/// Stall timeout of a stream whose engine still responds to other requests, as a multiple of the
-/// route's latency target for the interval between events.
+/// Time without an event after which a stream is also sent to a second engine if its engine still
+/// responds to other requests, as a multiple of the route's latency target for the interval between
+/// events.
 const STREAM_STALL_FACTOR: f64 = 3.0;
 
 /// Number of events over which the mean interval between the events of a stream is measured: enough
@@ -81,6 +88,28 @@
     Aborted,
     /// The stream was interrupted before its end.
     Cut(Interruption),
+    /// A second engine has gone on with the stream, since the first one was silent.
+    Replaced {
+        /// Response of the second engine.
+        next: Box<UpstreamResponse>,
+        /// How the first engine's stream was interrupted, if it was.
+        interruption: Option<Interruption>,
+    },
+}
+
+/// `Step` is what a relay waited for.
+enum Step {
+    /// Data, an error or the end of the stream has arrived from the engine.
+    Frame(Option<std::result::Result<Frame<Bytes>, hyper::Error>>),
+    /// A second engine has begun to answer.
+    Hedged {
+        /// The second engine's response.
+        hedged: Hedged,
+        /// Whether the first engine's stream was interrupted meanwhile.
+        is_first_cut: bool,
+    },
+    /// The relay ends.
+    End(ForwardEnd),
 }
 
 /// `Interruption` describes how a stream was interrupted at an engine.
@@ -147,17 +176,19 @@
                     return self.fail("aborted").await;
                 }
 
-                ForwardEnd::Cut(Interruption { attempt, cause, key, is_begun }) => {
-                    self.reader.discard_partial();
-                    self.trace.add(
-                        "cut",
-                        format!("{}, last event id {:?}", cause.code(), self.reader.last_id()),
-                    );
-                    self.state.is_trial = false;
-                    if !is_begun {
-                        let Relay { node_state, request, state, trace, .. } = &mut self;
-                        state.record_loss(node_state, request, key, cause, trace).await;
+                ForwardEnd::Replaced { next, interruption } => {
+                    if let Some(interruption) = &interruption {
+                        self.record_interruption(interruption).await;
                     }
+                    self.reader.discard_partial();
+                    self.node_state.counters.count(Counter::StreamsResumed);
+                    upstream_response = *next;
+                }
+
+                ForwardEnd::Cut(interruption) => {
+                    self.record_interruption(&interruption).await;
+                    self.reader.discard_partial();
+                    let Interruption { attempt, cause, .. } = interruption;
                     match self.resume(attempt, cause).await {
                         Some(next) => upstream_response = next,
                         None => return self.fail("cut").await,
@@ -167,22 +198,105 @@
         }
     }
 
+    /// Records that a stream was interrupted, and the loss if the engine had not begun to respond.
+    async fn record_interruption(&mut self, interruption: &Interruption) {
+        let Interruption { cause, key, is_begun, .. } = *interruption;
+        let Relay { node_state, request, state, reader, trace, .. } = self;
+        trace.add("cut", format!("{}, last event id {:?}", cause.code(), reader.last_id()));
+        state.is_trial = false;
+        if !is_begun {
+            state.record_loss(node_state, request, key, cause, trace).await;
+        }
+    }
+
+    /// Waits for the next data of the stream, or for a second engine if this one is silent.
+    async fn next_step(
+        &mut self,
+        body: &mut Incoming,
+        first: FirstAttempt<'_>,
+        is_begun: bool,
+    ) -> Step {
+        let Relay { node_state, request, state, model, sender, reader, trace, .. } = self;
+        let options = attempt_options(request, state, model, reader, None);
+        let progress = HedgeProgress::default();
+        let is_trial = state.is_trial;
+        let step = {
+            let mut second = pin!(hedge::second_response(
+                node_state, request, state, first, &options, &progress, trace
+            ));
+            let mut frame = None;
+            loop {
+                tokio::select! {
+                    biased;
+                    () = sender.closed() => break Step::End(ForwardEnd::CallerDisconnected),
+                    received = body.frame(), if frame.is_none() => {
+                        if !progress.is_in_flight() || !is_cut(&received, reader) {
+                            break Step::Frame(received);
+                        }
+                        // The second send that is under way is all that is left of the stream.
+                        progress.end_first();
+                        frame = Some(received);
+                    }
+                    hedged = &mut second => match (hedged, frame.take()) {
+                        (Some(hedged), received) => {
+                            break Step::Hedged { hedged, is_first_cut: received.is_some() };
+                        }
+
+                        (None, received) => break Step::Frame(received.flatten()),
+                    },
+                    () = sleep_until(request.deadline) => {
+                        break Step::End(ForwardEnd::DeadlineReached);
+                    }
+                    () = wait_for_rejection(node_state, request, is_trial), if !is_begun => {
+                        break Step::End(ForwardEnd::Aborted);
+                    }
+                }
+            }
+        };
+        if progress.is_in_flight() {
+            hedge::cancel_second(node_state, state, trace);
+        }
+        step
+    }
+
     /// Forwards events from one engine until the stream ends or is interrupted.
     async fn forward(&mut self, upstream_response: UpstreamResponse) -> ForwardEnd {
-        let UpstreamResponse { attempt, mut body, connection, load_guard, placement, .. } =
-            upstream_response;
+        let UpstreamResponse {
+            attempt,
+            mut body,
+            connection,
+            load_guard: _load_guard,
+            placement,
+            ..
+        } = upstream_response;
         let mut measurement =
             Some(IntervalMeasurement { started: Instant::now(), start_id: self.reader.last_id() });
         let first_event = self.reader.event_count();
         let mut is_begun = false;
         let cause = loop {
-            let frame = tokio::select! {
-                biased;
-                () = self.sender.closed() => return ForwardEnd::CallerDisconnected,
-                frame = body.frame() => frame,
-                () = self.wait_for_stall(load_guard.key) => break UnknownCause::AnswerTimeout,
-                () = sleep_until(self.request.deadline) => return ForwardEnd::DeadlineReached,
-                () = self.wait_for_rejection(), if !is_begun => return ForwardEnd::Aborted,
+            let first = FirstAttempt {
+                placement: &placement,
+                since_ms: self.node_state.now_ms(),
+                is_counted: true,
+            };
+            let frame = match self.next_step(&mut body, first, is_begun).await {
+                Step::Frame(frame) => frame,
+
+                Step::Hedged { hedged: Hedged { response, cause }, is_first_cut: false } => {
+                    hedge::record_replaced(&self.node_state, &self.request, &placement, cause);
+                    return ForwardEnd::Replaced { next: response, interruption: None };
+                }
+
+                Step::Hedged { hedged, is_first_cut: true } => {
+                    let interruption =
+                        self.interruption(attempt, UnknownCause::AnswerCut, &placement, is_begun);
+                    return ForwardEnd::Replaced {
+                        next: hedged.response,
+                        interruption: Some(interruption),
+                    };
+                }
+
+                Step::End(end) => return end,
             };
             let chunk = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -205,9 +319,7 @@
                     return ForwardEnd::Complete;
                 }
             };
-            if let Some(upstream) = self.node_state.fleet().upstream_mut(load_guard.key) {
-                upstream.last_byte_ms = self.node_state.now_ms();
-            }
+            hedge::record_byte(&self.node_state, &placement);
             let events = self.reader.push(&chunk);
             if !is_begun && self.reader.event_count() - first_event >= BEGUN_EVENTS {
                 is_begun = true;
@@ -218,29 +330,25 @@
             }
             self.record_event_interval(&mut measurement, &placement, INTERVAL_EVENTS_MIN);
         };
-        let outcome = match cause {
-            UnknownCause::AnswerTimeout => HealthOutcome::Unresponsive,
-            _ => HealthOutcome::Failed,
-        };
+        ForwardEnd::Cut(self.interruption(attempt, cause, &placement, is_begun))
+    }
+
+    /// Describes an interruption, and records it in the health of its engine.
+    fn interruption(
+        &self,
+        attempt: RequestProgress<Sent>,
+        cause: UnknownCause,
+        placement: &Placement,
+        is_begun: bool,
+    ) -> Interruption {
         dispatch::record_health_outcome(
             &self.node_state,
             &self.request,
-            &placement,
-            outcome,
+            placement,
+            HealthOutcome::Failed,
             cause.code(),
         );
-        ForwardEnd::Cut(Interruption { attempt, cause, key: placement.key, is_begun })
-    }
-
-    /// Waits until the prompt is rejected. Never completes for the trial of a rejected segment.
-    async fn wait_for_rejection(&self) {
-        match self.state.is_trial {
-            true => std::future::pending().await,
-            false => {
-                let prompt = &self.request.parsed_headers.prompt;
-                crashes::wait_for_rejection(&self.node_state, prompt).await;
-            }
-        }
+        Interruption { attempt, cause, key: placement.key, is_begun }
     }
 
     /// Records the mean interval between the engine's events, once, after `events_min` events or as
@@ -279,30 +387,6 @@
         );
     }
 
-    /// Waits for the stream's stall timeout. The caller restarts the wait with each frame that it
-    /// receives, also if the frame holds only part of an event.
-    ///
-    /// Never completes for a stream that cannot be resumed: it waits for its engine until its
-    /// deadline.
-    async fn wait_for_stall(&self, key: UpstreamKey) {
-        let may_resume = serve::repeat_permission(&self.request).is_some()
-            && serve::may_retry(&self.request, &self.state, 0);
-        if !may_resume {
-            return std::future::pending().await;
-        }
-        let event_interval_target_ms = self.request.route().event_gap_target_ms as f64;
-        let engine_stall_ms = (event_interval_target_ms * ENGINE_STALL_FACTOR) as u64;
-        let since_ms = self.node_state.now_ms();
-        sleep(Duration::from_millis(engine_stall_ms)).await;
-        let last_byte_ms =
-            self.node_state.fleet().upstream(key).map(|upstream| upstream.last_byte_ms);
-        // The engine still responds to other requests, so this stream may only be delayed.
-        if last_byte_ms.is_some_and(|last_byte_ms| last_byte_ms > since_ms) {
-            let stream_stall_ms = (event_interval_target_ms * STREAM_STALL_FACTOR) as u64;
-            sleep(Duration::from_millis(stream_stall_ms.saturating_sub(engine_stall_ms))).await;
-        }
-    }
-
     /// Resumes the stream at another engine, as far as attempts and the retry budget allow.
     async fn resume(
         &mut self,
@@ -319,27 +403,13 @@
                 return None;
             }
             let placement = self.wait_for_placement().await?;
-            let remaining_ms = self.request.route().timeout_ms.min(ms_until(self.request.deadline));
-            let options = AttemptOptions {
-                model: (!self.model.is_empty()).then_some(self.model.as_str()),
-                engine_priority: Some(ENGINE_PRIORITY_RESUMED),
-                last_event_id: self.reader.last_id(),
-                silence_timeout_ms: remaining_ms,
-                response_timeout_ms: remaining_ms,
-                may_reuse_connection: false,
-                is_trial: self.state.is_trial,
-            };
-            let attempted = serve::send_and_classify(
-                &self.node_state,
-                &self.request,
-                &mut self.state,
-                placement,
-                &options,
-                &mut self.trace,
-            );
+            let Relay { node_state, request, state, model, sender, reader, trace, .. } = self;
+            let options = attempt_options(request, state, model, reader, Some(&placement));
+            let attempted =
+                serve::send_and_classify(node_state, request, state, placement, &options, trace);
             let result = tokio::select! {
                 biased;
-                () = self.sender.closed() => return None,
+                () = sender.closed() => return None,
                 result = attempted => result,
             };
             match result {
@@ -411,3 +481,51 @@
         self.sender.abort().await;
     }
 }
+
+/// Returns whether a stream was interrupted, rather than continued or sent to its end.
+///
+/// A response without length ends with its connection, also if the engine ends.
+fn is_cut(
+    frame: &Option<std::result::Result<Frame<Bytes>, hyper::Error>>,
+    reader: &EventReader,
+) -> bool {
+    match frame {
+        Some(Ok(_)) => false,
+        Some(Err(_)) => true,
+        None => reader.has_partial() || reader.last_id().is_none(),
+    }
+}
+
+/// Returns the options of an attempt that goes on with a stream after the last event that the reader
+/// has returned. `resumed_at` is where an interrupted stream is resumed; `None` if the stream is
+/// still under way at an engine.
+fn attempt_options<'a>(
+    request: &RoutedRequest,
+    state: &RequestState,
+    model: &'a str,
+    reader: &EventReader,
+    resumed_at: Option<&Placement>,
+) -> AttemptOptions<'a> {
+    let event_interval_target_ms = request.route().event_gap_target_ms as f64;
+    let stream_timeouts = HedgeTimeouts {
+        silence_ms: (event_interval_target_ms * ENGINE_STALL_FACTOR) as u64,
+        response_ms: (event_interval_target_ms * STREAM_STALL_FACTOR) as u64,
+    };
+    AttemptOptions {
+        model: (!model.is_empty()).then_some(model),
+        engine_priority: Some(ENGINE_PRIORITY_RESUMED),
+        last_event_id: reader.last_id(),
+        hedge_timeouts: resumed_at
+            .map_or(stream_timeouts, |placement| serve::head_timeouts(request, placement)),
+        may_reuse_connection: false,
+        is_trial: state.is_trial,
+    }
+}
+
+/// Waits until the prompt is rejected. Never completes for the trial of a rejected segment.
+async fn wait_for_rejection(node_state: &NodeState, request: &RoutedRequest, is_trial: bool) {
+    match is_trial {
+        true => std::future::pending().await,
+        false => crashes::wait_for_rejection(node_state, &request.parsed_headers.prompt).await,
+    }
+}
--- a/crates/fescuelock-gateway/src/serve.rs
+++ b/crates/fescuelock-gateway/src/serve.rs
@@ -17,14 +17,18 @@
 use fescuelock_policy::deployment::RetrySafety;
 use fescuelock_policy::health;
 use fescuelock_policy::retry_budget::RetryPurpose;
+use fescuelock_policy::silence::HedgeTimeouts;
 use http::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout;
 
 use crate::crashes;
-use crate::dispatch::{self, AttemptOptions, SendResult, UpstreamResponse, ms_until};
+use crate::dispatch::{
+    self, AttemptOptions, DEADLINE_GRACE_MS, SendResult, UpstreamResponse, ms_until,
+};
 use crate::error_response;
 use crate::escalate::try_escalate;
 use crate::handler::RoutedRequest;
+use crate::hedge::{self, Attempted};
 use crate::metrics::{LabelledCounter, LatencyHistogram};
 use crate::node_state::NodeState;
 use crate::placement::Placement;
@@ -36,10 +40,6 @@
 /// Maximum size of a response that is buffered, in bytes.
 const RESPONSE_MAX_BYTES: usize = 8 << 20;
 
-/// Time to wait beyond the deadline for a response that the upstream sent just before its own
-/// deadline, in milliseconds.
-const DEADLINE_GRACE_MS: u64 = 60;
-
 /// Attempts that ended before any byte was sent, in total, after which a request is refused.
 const UNSENT_ATTEMPTS_MAX: u32 = 5;
 
@@ -81,6 +81,8 @@
     pub unsent_attempts: u32,
     /// Number of engines that ended while the request waited there for its first events.
     pub crashes: u32,
+    /// Whether the request was sent to a second upstream while it was under way at the first.
+    pub has_hedged: bool,
     /// Whether the next or current send is the trial of a rejected prompt segment. A trial is not
     /// repeated.
     pub is_trial: bool,
@@ -113,6 +115,7 @@
             rejections: 0,
             unsent_attempts: 0,
             crashes: 0,
+            has_hedged: false,
             is_trial: false,
             last_error_response: None,
         }
@@ -249,16 +252,13 @@
                 Ok(placement) => placement,
                 Err(failure) => break failure,
             };
-        let (silence_timeout_ms, response_timeout_ms) =
-            response_timeouts_ms(&request, &state, &placement);
         let options = AttemptOptions {
             model: model.as_deref(),
             engine_priority: model
                 .is_some()
                 .then(|| ENGINE_PRIORITY_FIRST + 2 * request.priority()),
             last_event_id: request.parsed_headers.last_event_id.filter(|_| is_stream),
-            silence_timeout_ms,
-            response_timeout_ms,
+            hedge_timeouts: head_timeouts(&request, &placement),
             may_reuse_connection: !is_stream && repeat_permission(&request).is_some(),
             is_trial: state.is_trial,
         };
@@ -364,10 +364,14 @@
         ),
     );
     state.tried.push(placement.key);
-    let (key, upstream_id) = (placement.key, placement.id.clone());
     let progress = state.take();
     let earlier = progress.earlier_cause();
-    match dispatch::send(node_state, request, progress, placement, options).await {
+    let attempted =
+        hedge::send(node_state, request, state, progress, placement, options, trace).await;
+    let Attempted { key, upstream_id, result } = attempted;
+    // The outcome of a second send beside this one is unknown.
+    let earlier = earlier.or(state.has_hedged.then_some(UnknownCause::AnswerTimeout));
+    match result {
         SendResult::Received(upstream_response)
             if upstream_response.parsed_headers.upstream_did_not_run =>
         {
@@ -389,7 +393,10 @@
 
         SendResult::NotSent(progress) => {
             trace.add("not sent", format!("to {upstream_id}"));
-            state.progress = Some(progress);
+            state.progress = Some(match (earlier, repeat_permission(request)) {
+                (Some(_), Some(repeatable)) => PendingRequest::hedge(repeatable),
+                _ => progress,
+            });
             state.unsent_attempts += 1;
             match state.unsent_attempts < UNSENT_ATTEMPTS_MAX && ms_until(request.deadline) > 0 {
                 true => AttemptResult::Retry,
@@ -462,26 +469,14 @@
     }
 }
 
-/// Returns the silence timeout and the response timeout of an attempt, in milliseconds.
-///
-/// The silence timeout applies to an upstream that responds to no request at all, the response
-/// timeout to one that still responds to others. A request that cannot be retried waits until its
-/// deadline.
-fn response_timeouts_ms(
-    request: &RoutedRequest,
-    state: &RequestState,
-    placement: &Placement,
-) -> (u64, u64) {
-    let remaining_ms = ms_until(request.deadline) + DEADLINE_GRACE_MS;
-    if repeat_permission(request).is_none() || !may_retry(request, state, 1) {
-        return (remaining_ms, remaining_ms);
-    }
+/// Returns the time without a response head after which a request is sent to a second upstream.
+pub fn head_timeouts(request: &RoutedRequest, placement: &Placement) -> HedgeTimeouts {
     let base_timeout_ms = (EXPECTED_TIME_FACTOR * placement.expected_ms).max(TIMEOUT_MIN_MS);
     let target_ms = request.route().target_ms as f64;
-    let silence_timeout_ms = base_timeout_ms.max(target_ms * SILENCE_TIMEOUT_TARGET_SHARE) as u64;
-    let response_timeout_ms =
-        base_timeout_ms.max(target_ms * RESPONSE_TIMEOUT_TARGET_FACTOR) as u64;
-    (silence_timeout_ms.min(remaining_ms), response_timeout_ms.min(remaining_ms))
+    HedgeTimeouts {
+        silence_ms: base_timeout_ms.max(target_ms * SILENCE_TIMEOUT_TARGET_SHARE) as u64,
+        response_ms: base_timeout_ms.max(target_ms * RESPONSE_TIMEOUT_TARGET_FACTOR) as u64,
+    }
 }
 
 /// Returns the failure of a request that was sent and cannot be repeated: its outcome is unknown.
--- a/crates/fescuelock-gateway/src/upstream.rs
+++ b/crates/fescuelock-gateway/src/upstream.rs
@@ -9,6 +9,7 @@
 use fescuelock_policy::health::Health;
 use fescuelock_policy::placement::hash_name;
 use fescuelock_policy::prompt::Prompt;
+use fescuelock_policy::silence::Silence;
 use fescuelock_policy::stated_limit::StatedLimit;
 use fescuelock_policy::upstream::{UpstreamRecord, UpstreamState};
 
@@ -88,6 +89,8 @@
     pub remove_at_ms: Option<u64>,
     /// Time of the last byte of any answer, in milliseconds.
     pub last_byte_ms: u64,
+    /// Whether the upstream sends nothing for any request.
+    pub silence: Silence,
     /// Rate limit that the upstream states, and this node's share of it.
     pub stated_limit: StatedLimit,
     /// Moving average of the latency of plain answers, in milliseconds.
@@ -129,6 +132,7 @@
             queues_updated_ms: now_ms,
             remove_at_ms: None,
             last_byte_ms: now_ms,
+            silence: Silence::default(),
             stated_limit: StatedLimit::default(),
             latency_ms: LATENCY_DEFAULT_MS,
             first_event_ratio: 1.0,
--- a/crates/fescuelock-gateway/src/watcher.rs
+++ b/crates/fescuelock-gateway/src/watcher.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::crashes;
+use crate::hedge;
 use crate::node_state::NodeState;
 
 /// Longest wait of one watch call, in milliseconds. Long waits save calls; connections that stop
@@ -367,6 +368,7 @@
         sleep(Duration::from_millis(EXPIRY_CHECK_INTERVAL_MS)).await;
         let now_ms = node_state.now_ms();
         crashes::announce_verdicts(&node_state);
+        hedge::record_long_silences(&node_state);
         let expired = node_state.fleet().remove_expired(now_ms);
         for id in expired {
             info!(node_state.logger,
--- a/crates/fescuelock-policy/src/lib.rs
+++ b/crates/fescuelock-policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod prompt;
 pub mod retry_budget;
 pub mod rollout;
+pub mod silence;
 pub mod stated_limit;
 pub mod upstream;
 pub mod watch_batching;
--- a/crates/fescuelock-policy/src/retry_budget.rs
+++ b/crates/fescuelock-policy/src/retry_budget.rs
@@ -27,11 +27,17 @@
 /// Share of the budget that is reserved for retries of failed requests; escalations may not use it.
 const RECOVERY_RESERVE_SHARE: f64 = 0.15;
 
+/// Share of the budget that is reserved for retries of failed requests; second sends beside an
+/// attempt that is under way may not use it.
+const HEDGE_RESERVE_SHARE: f64 = 0.05;
+
 /// `RetryPurpose` is the reason for an extra send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryPurpose {
     /// The request would fail without it.
     Recovery,
+    /// The request waits for an upstream that is silent and may still go on.
+    Hedge,
     /// The request has an answer, and a larger model may give a better one.
     Escalation,
 }
@@ -71,6 +77,7 @@
             + limit.allowance * RETRY_MARGIN_FACTOR / nodes.max(1) as f64;
         let allowed = match purpose {
             RetryPurpose::Recovery => allowed,
+            RetryPurpose::Hedge => allowed * (1.0 - HEDGE_RESERVE_SHARE),
             RetryPurpose::Escalation => allowed * (1.0 - RECOVERY_RESERVE_SHARE),
         };
         let granted = f64::from(self.extra_count + 1) <= allowed;
--- /dev/null
+++ b/crates/fescuelock-policy/src/silence.rs
@@ -0,0 +1,128 @@
+//! Verdicts on upstreams that send nothing for a while.
+//!
+//! Handles sound upstreams that fall silent for a second or two and go on, all requests of an
+//! engine or of a whole service at once, as well as upstreams that never go on. Three verdicts are
+//! kept apart: when a request is sent to a second upstream ([`HedgeTimeouts`]), when an upstream
+//! gets no new requests ([`Silence::accepts`]), and when its silence counts as a failure
+//! ([`Silence::take_loss`]).
+
+/// Duration of a silence from which it counts as a failure of the upstream, in milliseconds. It is
+/// longer than keep-alive probes need to detect that a peer has gone.
+const LOSS_MS: u64 = 3_000;
+
+/// Interval at which a silent upstream gets one new request, in milliseconds. A request that is
+/// answered ends the silence.
+const PROBE_INTERVAL_MS: u64 = 500;
+
+/// Share of a service's upstreams above which their silence is no reason to prefer others.
+const SILENT_IGNORED_ABOVE_SHARE: f64 = 0.5;
+
+/// `HedgeTimeouts` configures when a request is sent to a second upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct HedgeTimeouts {
+    /// Time for which the upstream has sent nothing for any request, in milliseconds.
+    pub silence_ms: u64,
+    /// Time for which the request has got nothing, although the upstream still responds to others,
+    /// in milliseconds.
+    pub response_ms: u64,
+}
+
+/// `HedgeCause` is the reason to send a request to a second upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeCause {
+    /// The first upstream sends nothing for any request.
+    UpstreamSilent,
+    /// The first upstream responds to other requests, but not to this one.
+    RequestUnanswered,
+}
+
+/// `HedgeCheck` is whether a request is to be sent to a second upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HedgeCheck {
+    /// Not before this time has passed, in milliseconds.
+    WaitMs(u64),
+    /// It may be sent now.
+    Due(HedgeCause),
+}
+
+impl HedgeTimeouts {
+    /// Returns whether a request that has got nothing since `since_ms` is to be sent to a second
+    /// upstream. `last_byte_ms` is the time at which its upstream sent something for any request;
+    /// `None` if the upstream is not known any more, which says nothing about its silence.
+    pub fn check(&self, since_ms: u64, last_byte_ms: Option<u64>, now_ms: u64) -> HedgeCheck {
+        let waited_ms = now_ms.saturating_sub(since_ms);
+        let silent_ms = last_byte_ms.map(|last_ms| now_ms.saturating_sub(last_ms.max(since_ms)));
+        match silent_ms {
+            Some(silent_ms) if silent_ms >= self.silence_ms => {
+                HedgeCheck::Due(HedgeCause::UpstreamSilent)
+            }
+
+            _ if waited_ms >= self.response_ms => HedgeCheck::Due(HedgeCause::RequestUnanswered),
+
+            silent_ms => {
+                let until_response_ms = self.response_ms - waited_ms;
+                let until_silence_ms = silent_ms.map(|silent_ms| self.silence_ms - silent_ms);
+                HedgeCheck::WaitMs(
+                    until_silence_ms.map_or(until_response_ms, |ms| ms.min(until_response_ms)),
+                )
+            }
+        }
+    }
+}
+
+/// `Silence` is the state of an upstream that may be silent.
+#[derive(Debug, Clone, Default)]
+pub struct Silence {
+    /// Time of the last byte before the silence, in milliseconds.
+    since_ms: Option<u64>,
+    last_send_ms: u64,
+    is_loss: bool,
+}
+
+impl Silence {
+    /// Records that a request has got nothing from the upstream for its silence timeout, and no
+    /// other request either since `last_byte_ms`. Returns whether this begins a silence.
+    pub fn begin(&mut self, last_byte_ms: u64, now_ms: u64) -> bool {
+        let is_new = self.since_ms.is_none();
+        if is_new {
+            *self = Silence { since_ms: Some(last_byte_ms), last_send_ms: now_ms, is_loss: false };
+        }
+        is_new
+    }
+
+    /// Records that the upstream has sent something. Returns the duration of the silence that this
+    /// ends, in milliseconds.
+    pub fn end(&mut self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.since_ms.take()?;
+        Some(now_ms.saturating_sub(since_ms))
+    }
+
+    /// Returns whether the upstream is silent.
+    pub fn is_silent(&self) -> bool {
+        self.since_ms.is_some()
+    }
+
+    /// Returns whether the upstream may get a new request: it is not silent, or a probe is due.
+    pub fn accepts(&self, now_ms: u64) -> bool {
+        !self.is_silent() || now_ms.saturating_sub(self.last_send_ms) >= PROBE_INTERVAL_MS
+    }
+
+    /// Records that a new request is sent.
+    pub fn record_send(&mut self, now_ms: u64) {
+        self.last_send_ms = now_ms;
+    }
+
+    /// Returns whether the silence has just become so long that it counts as a failure.
+    pub fn take_loss(&mut self, now_ms: u64) -> bool {
+        let is_long =
+            self.since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= LOSS_MS);
+        let is_new = is_long && !self.is_loss;
+        self.is_loss |= is_long;
+        is_new
+    }
+}
+
+/// Returns whether so many upstreams of a service are silent that no others can be preferred.
+pub fn should_ignore_silence(silent: usize, total: usize) -> bool {
+    silent as f64 > SILENT_IGNORED_ABOVE_SHARE * total as f64
+}
