gateway: Keep the small model's stream until the largest model has begun

A request that was escalated dropped its stream before the largest model was placed. If that send was rejected or lost and no retry was left, the caller got a 502 instead of the answer that it had: the same class of fault as a stream that is dropped because its engine is silent. Now the stream is kept, and forwarded if the largest model does not begin in time.

--- a/crates/fescuelock-gateway/src/escalate.rs
+++ b/crates/fescuelock-gateway/src/escalate.rs
@@ -1,18 +1,21 @@
-//! Decides whether to abandon a stream that the smallest model has begun and to send the request to
-//! the largest model instead.
+//! Decides whether to send a request to the largest model after the smallest one has begun its
+//! stream. That stream is kept until the largest model has begun to answer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use fescuelock_core::outcome::PendingRequest;
 use fescuelock_policy::crash_evidence::PromptVerdict;
 use fescuelock_policy::escalation::{self, EscalationCandidate, EscalationOptions};
 use fescuelock_policy::retry_budget::RetryPurpose;
+use tokio::time::timeout;
 
-use crate::dispatch::UpstreamResponse;
+use crate::dispatch::{self, AttemptOptions, SendResult, UpstreamResponse};
 use crate::handler::RoutedRequest;
 use crate::node_state::NodeState;
 use crate::placement::PlacementRequest;
 use crate::queue::build_placement_request;
-use crate::serve::{RequestState, may_retry, repeat_permission};
+use crate::serve::{RequestState, engine_priority, head_timeouts, may_retry, repeat_permission};
 use crate::trace::Trace;
 
 /// Returns the largest model if the request should be escalated to it, and takes a retry from the
@@ -97,3 +100,55 @@
     );
     granted.then(|| largest.clone())
 }
+
+/// Sends a request to the largest model. Returns its response once it has begun, or `None` if there
+/// is none and the stream of the smallest model has to do.
+pub async fn send_escalated(
+    node_state: &Arc<NodeState>,
+    request: &RoutedRequest,
+    state: &mut RequestState,
+    largest: &str,
+    trace: &mut Trace,
+) -> Option<Box<UpstreamResponse>> {
+    let repeatable = repeat_permission(request)?;
+    // The same engine may be the best one for the largest model, so it counts as untried.
+    state.tried.pop();
+    let allowed_regions = request.allowed_regions();
+    let placement_request =
+        build_placement_request(request, Some(largest), &allowed_regions, state);
+    let placement = node_state.fleet().place(&placement_request, node_state.now_ms()).ok()?;
+    let hedge_timeouts = head_timeouts(request, &placement);
+    let options = AttemptOptions {
+        model: Some(largest),
+        engine_priority: Some(engine_priority(request)),
+        last_event_id: request.parsed_headers.last_event_id,
+        hedge_timeouts,
+        may_reuse_connection: false,
+        is_trial: false,
+    };
+    let (key, upstream_id) = (placement.key, placement.id.clone());
+    state.tried.push(key);
+    trace.add("sent", format!("to {upstream_id} model {largest}"));
+    let progress = PendingRequest::hedge(repeatable);
+    let sending = dispatch::send(node_state, request, progress, placement, &options);
+    let limit = Duration::from_millis(hedge_timeouts.response_ms);
+    let (reason, is_sent) = match timeout(limit, sending).await {
+        Ok(SendResult::Received(response)) if response.status.is_success() => {
+            state.sends += 1;
+            return Some(response);
+        }
+        Ok(SendResult::Received(response)) => {
+            (response.status.to_string(), !response.parsed_headers.upstream_did_not_run)
+        }
+        Ok(SendResult::Lost(_, cause)) => {
+            state.record_loss(node_state, request, key, cause, trace).await;
+            (cause.code().to_owned(), true)
+        }
+        Ok(SendResult::NotSent(_)) => ("not sent".to_owned(), false),
+        Ok(SendResult::Aborted) => ("aborted".to_owned(), true),
+        Err(_) => ("no response in time".to_owned(), true),
+    };
+    state.sends += u32::from(is_sent);
+    trace.add("kept", format!("the smallest model's stream, since {upstream_id}: {reason}"));
+    None
+}
--- a/crates/fescuelock-gateway/src/serve.rs
+++ b/crates/fescuelock-gateway/src/serve.rs
@@ -26,7 +26,7 @@
     self, AttemptOptions, DEADLINE_GRACE_MS, SendResult, UpstreamResponse, ms_until,
 };
 use crate::error_response;
-use crate::escalate::try_escalate;
+use crate::escalate::{send_escalated, try_escalate};
 use crate::handler::RoutedRequest;
 use crate::hedge::{self, Attempted};
 use crate::metrics::{LabelledCounter, LatencyHistogram};
@@ -243,7 +243,7 @@
         true => request.parsed_headers.prompt.model.clone().into_iter().collect(),
         false => Vec::new(),
     };
-    let mut model = candidate_models.first().cloned();
+    let model = candidate_models.first().cloned();
     let failure = loop {
         let placement =
             match place_or_wait(node_state, &request, model.as_deref(), &mut state, &mut trace)
@@ -254,9 +254,7 @@
             };
         let options = AttemptOptions {
             model: model.as_deref(),
-            engine_priority: model
-                .is_some()
-                .then(|| ENGINE_PRIORITY_FIRST + 2 * request.priority()),
+            engine_priority: model.is_some().then(|| engine_priority(&request)),
             last_event_id: request.parsed_headers.last_event_id.filter(|_| is_stream),
             hedge_timeouts: head_timeouts(&request, &placement),
             may_reuse_connection: !is_stream && repeat_permission(&request).is_some(),
@@ -286,7 +284,7 @@
                 None => break unknown_outcome(UnknownCause::AnswerCut),
             }
         }
-        match try_escalate(
+        let largest = try_escalate(
             node_state,
             &request,
             &candidate_models,
@@ -294,35 +292,22 @@
             model.as_deref(),
             &state,
             &mut trace,
-        ) {
+        );
+        let escalated = match largest {
             Some(largest) => {
-                model = Some(largest);
-                state.progress =
-                    Some(upstream_response.attempt.retry(Retryable, UnknownCause::AnswerInvalid));
-                // The same engine may be the best one for the largest model, so it counts as
-                // untried.
-                state.tried.pop();
+                let response =
+                    send_escalated(node_state, &request, &mut state, &largest, &mut trace).await;
+                response.map(|response| (response, largest))
             }
-
-            None => {
-                let model_name = model.unwrap_or_default();
-                let size_index = candidate_models
-                    .iter()
-                    .position(|model| *model == model_name)
-                    .unwrap_or_default();
-                let labels =
-                    [("route", request.route().name.as_str()), ("size", &size_index.to_string())];
-                node_state.metrics.count(LabelledCounter::ModelSizes, &labels);
-                return relay::start(
-                    node_state,
-                    request,
-                    *upstream_response,
-                    state,
-                    model_name,
-                    trace,
-                );
-            }
-        }
+            None => None,
+        };
+        let (upstream_response, model_name) =
+            escalated.unwrap_or((upstream_response, model.unwrap_or_default()));
+        let size_index =
+            candidate_models.iter().position(|model| *model == model_name).unwrap_or_default();
+        let labels = [("route", request.route().name.as_str()), ("size", &size_index.to_string())];
+        node_state.metrics.count(LabelledCounter::ModelSizes, &labels);
+        return relay::start(node_state, request, *upstream_response, state, model_name, trace);
     };
     finish_failed(node_state, &request, state, failure, trace)
 }
@@ -469,6 +454,11 @@
     }
 }
 
+/// Returns the scheduling priority at an engine of a request that has no events yet.
+pub fn engine_priority(request: &RoutedRequest) -> u32 {
+    ENGINE_PRIORITY_FIRST + 2 * request.priority()
+}
+
 /// Returns the time without a response head after which a request is sent to a second upstream.
 pub fn head_timeouts(request: &RoutedRequest, placement: &Placement) -> HedgeTimeouts {
     let base_timeout_ms = (EXPECTED_TIME_FACTOR * placement.expected_ms).max(TIMEOUT_MIN_MS);
