http: Read a request on after it was refused

A refusal that is decided on the head, such as 401, 404, 413 or 503, was written while the caller was still sending. The connection then closed with unread data, and the reset overtook the answer: callers saw a broken pipe instead of the refusal.

Request bodies are now `RequestBody`, which returns an unread rest to the server. A rest of up to 64 KiB is discarded and the connection is kept. Otherwise the response says `connection: close`, the sending direction is shut down, and what arrives is discarded until the caller closes, for at most 4 MiB and 5 s, or 1 s once the server stops. A caller that waits for `100 Continue` gets the final status and a close. Heads that the parser rejects close in the same way.

--- a/crates/fescuelock-callers/src/intake.rs
+++ b/crates/fescuelock-callers/src/intake.rs
@@ -8,9 +8,9 @@
 use fescuelock_core::rules::ConfigSnapshot;
 use fescuelock_core::session::{SessionBinding, SessionKeys};
 use fescuelock_http::body::read_all;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::{Error as HttpError, Result as HttpResult};
 use http::{HeaderMap, header};
-use hyper::body::Incoming;
 
 use crate::{Result, headers};
 
@@ -74,7 +74,7 @@
 /// # Errors
 ///
 /// Returns [`Refusal::BodyTimeout`], [`Refusal::BodyTooLarge`] or [`Refusal::MalformedBody`].
-pub async fn read_body(body: Incoming, limits: &RequestLimits) -> Result<Bytes> {
+pub async fn read_body(body: RequestBody, limits: &RequestLimits) -> Result<Bytes> {
     let limit_ms = limits.body_timeout_ms;
     let reading = read_all(body, limits.body_max_bytes);
     let read: HttpResult<Bytes> =
--- a/crates/fescuelock-gateway/src/handler.rs
+++ b/crates/fescuelock-gateway/src/handler.rs
@@ -12,6 +12,7 @@
 use fescuelock_http::Error as HttpError;
 use fescuelock_http::body::{Body, read_all};
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use fescuelock_platform::protocol::{self, RequestHead};
 use fescuelock_policy::deployment::{
@@ -19,7 +20,6 @@
 };
 use fescuelock_policy::placement::hash_name;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
-use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
 use crate::metrics::LatencyHistogram;
@@ -170,7 +170,10 @@
 }
 
 impl Handler for GatewayHandler {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
             let mut response = handle_request(&self.node_state, request).await;
             if self.node_state.stopping.is_cancelled() {
@@ -183,7 +186,10 @@
 }
 
 /// Handles one request from its arrival to the head of its response.
-async fn handle_request(node_state: &Arc<NodeState>, request: Request<Incoming>) -> Response<Body> {
+async fn handle_request(
+    node_state: &Arc<NodeState>,
+    request: Request<RequestBody>,
+) -> Response<Body> {
     let arrived = Instant::now();
     node_state.counters.count(Counter::Requests);
     let parsed_headers = protocol::parse_request_headers(request.headers());
@@ -221,7 +227,7 @@
 /// Resolves the route and team of a request, admits it, reads its body and chooses its service.
 async fn receive_request(
     node_state: &Arc<NodeState>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     parsed_headers: RequestHead,
     arrived: Instant,
     trace: &mut Trace,
--- a/crates/fescuelock-gateway/src/readiness.rs
+++ b/crates/fescuelock-gateway/src/readiness.rs
@@ -5,10 +5,10 @@
 
 use fescuelock_http::body::Body;
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use fescuelock_platform::protocol;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 
 use crate::metrics::Gauge;
 use crate::node_state::NodeState;
@@ -23,7 +23,10 @@
 }
 
 impl Handler for ReadinessHandler {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
             let mut response = Response::new(Body::empty());
             match request.uri().path() {
--- a/crates/fescuelock-http/src/body.rs
+++ b/crates/fescuelock-http/src/body.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -121,7 +120,11 @@
 /// # Errors
 ///
 /// Returns [`Error::TooLarge`] for a larger body and [`Error::IncompleteBody`] for one that ends early.
-pub async fn read_all(body: Incoming, limit_bytes: usize) -> Result<Bytes> {
+pub async fn read_all<B>(body: B, limit_bytes: usize) -> Result<Bytes>
+where
+    B: HttpBody<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let limited = Limited::new(body, limit_bytes);
     match limited.collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
--- a/crates/fescuelock-http/src/lib.rs
+++ b/crates/fescuelock-http/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod body;
 pub mod client;
+pub mod discard;
 pub mod errors;
 pub mod net;
 pub mod pool;
+pub mod request_body;
 pub mod server;
 
 pub use errors::{Error, Result};
--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -1,21 +1,27 @@
 //! The HTTP server loop, with one task per connection.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use fescuelock_core::tasks::TaskGroup;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::io::AsyncWriteExt;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
+use crate::discard::{self, DiscardOptions, may_keep_alive};
 use crate::net::{BoxFuture, BoxIo, Listener};
 use crate::pool::HttpVersion;
+use crate::request_body::{RequestBody, UnreadSlot};
 
 /// Delay after a failed accept, in milliseconds, so that the loop does not spin while the process
 /// is out of file descriptors.
@@ -24,7 +30,8 @@
 /// `Handler` handles requests.
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to one request.
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>>;
+    fn handle(self: Arc<Self>, request: Request<RequestBody>)
+    -> BoxFuture<'static, Response<Body>>;
 }
 
 /// `ServerOptions` configures the connections of a server.
@@ -38,6 +45,8 @@
     pub headers_max: usize,
     /// Maximum size of a connection's buffer, in bytes. Defaults to 64 KiB.
     pub buffer_max_bytes: usize,
+    /// Bounds on reading a request on after it was answered.
+    pub discard: DiscardOptions,
 }
 
 /// `SharedOptions` holds options that may change while a server runs. A connection keeps the
@@ -58,6 +67,7 @@
             header_timeout_ms: 10_000,
             headers_max: 200,
             buffer_max_bytes: 64 << 10,
+            discard: DiscardOptions::default(),
         }
     }
 }
@@ -91,45 +101,119 @@
     }
 
     async fn serve(self, io: BoxIo, handler: Arc<impl Handler>) {
-        let service = service_fn(move |request| {
+        let options = self.options.load_full();
+        match options.version {
+            HttpVersion::Http1 => self.serve_http1(io, handler, options).await,
+            HttpVersion::Http2 => self.serve_http2(io, handler).await,
+        }
+    }
+
+    async fn serve_http1(self, io: BoxIo, handler: Arc<impl Handler>, options: Arc<ServerOptions>) {
+        let has_unread_data = Arc::new(AtomicBool::new(false));
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(options.header_timeout_ms))
+            .max_headers(options.headers_max)
+            .max_buf_size(options.buffer_max_bytes);
+        let exchange = Exchange {
+            handler,
+            tasks: self.tasks.clone(),
+            discard: options.discard.clone(),
+            stop: self.stop.clone(),
+            has_unread_data: Arc::clone(&has_unread_data),
+        };
+        let service = service_fn(move |request| Box::pin(exchange.clone().respond(request)));
+        let mut connection = builder.serve_connection(TokioIo::new(io), service);
+        let mut stopped = std::pin::pin!(self.stop.cancelled());
+        let mut is_stopping = false;
+        let ended = poll_fn(|context| {
+            let ended = connection.poll_without_shutdown(context);
+            if ended.is_ready() || is_stopping || stopped.as_mut().poll(context).is_pending() {
+                return ended;
+            }
+            is_stopping = true;
+            Pin::new(&mut connection).graceful_shutdown();
+            connection.poll_without_shutdown(context)
+        })
+        .await;
+        // A request head that could not be parsed has been answered, but not read to its end.
+        let has_rejected_head = ended.is_err_and(|error| error.is_parse());
+        let mut io = connection.into_parts().io.into_inner();
+        if has_rejected_head || has_unread_data.load(Ordering::Relaxed) {
+            discard::close_in_order(io, &options.discard, &self.stop).await;
+        } else {
+            // The peer is gone if this fails.
+            let _ = io.shutdown().await;
+        }
+    }
+
+    async fn serve_http2(self, io: BoxIo, handler: Arc<impl Handler>) {
+        let service = service_fn(move |request: Request<Incoming>| {
             let handler = Arc::clone(&handler);
+            // A stream ends without touching the others, whatever was left unread.
+            let request = request.map(|body| RequestBody::new(body, UnreadSlot::default()));
             async move { Ok::<_, Infallible>(handler.handle(request).await) }
         });
-        let options = self.options.load_full();
+        let builder = http2::Builder::new(TokioExecutor::new());
+        let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(io), service));
         // The client is gone when a connection fails, so the error has no recipient.
-        let _ = match options.version {
-            HttpVersion::Http1 => {
-                let mut builder = http1::Builder::new();
-                builder
-                    .timer(TokioTimer::new())
-                    .header_read_timeout(Duration::from_millis(options.header_timeout_ms))
-                    .max_headers(options.headers_max)
-                    .max_buf_size(options.buffer_max_bytes);
-                let mut connection =
-                    std::pin::pin!(builder.serve_connection(TokioIo::new(io), service));
-                tokio::select! {
-                    biased;
-                    ended = connection.as_mut() => ended,
-                    () = self.stop.cancelled() => {
-                        connection.as_mut().graceful_shutdown();
-                        connection.await
-                    }
-                }
+        let _ = tokio::select! {
+            biased;
+            ended = connection.as_mut() => ended,
+            () = self.stop.cancelled() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+    }
+}
+
+/// `Exchange` handles the requests of one HTTP/1.1 connection.
+struct Exchange<H> {
+    handler: Arc<H>,
+    tasks: TaskGroup,
+    discard: DiscardOptions,
+    stop: CancellationToken,
+    /// Set when a response closes the connection before its request has been read.
+    has_unread_data: Arc<AtomicBool>,
+}
+
+impl<H> Clone for Exchange<H> {
+    fn clone(&self) -> Self {
+        Exchange {
+            handler: Arc::clone(&self.handler),
+            tasks: self.tasks.clone(),
+            discard: self.discard.clone(),
+            stop: self.stop.clone(),
+            has_unread_data: Arc::clone(&self.has_unread_data),
+        }
+    }
+}
+
+impl<H: Handler> Exchange<H> {
+    /// Handles one request. What the handler leaves unread of its body is discarded.
+    async fn respond(self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        let unread = UnreadSlot::default();
+        let expects_continue = request.headers().contains_key(header::EXPECT);
+        let request = request.map(|body| RequestBody::new(body, unread.clone()));
+        let mut response = self.handler.handle(request).await;
+        match unread.take() {
+            None => {}
+
+            Some(body) if may_keep_alive(&body, expects_continue, &self.discard) => {
+                let Exchange { discard, stop, .. } = self;
+                self.tasks.spawn(async move {
+                    discard::discard_body(body.incoming, &discard, &stop).await;
+                });
             }
 
-            HttpVersion::Http2 => {
-                let builder = http2::Builder::new(TokioExecutor::new());
-                let mut connection =
-                    std::pin::pin!(builder.serve_connection(TokioIo::new(io), service));
-                tokio::select! {
-                    biased;
-                    ended = connection.as_mut() => ended,
-                    () = self.stop.cancelled() => {
-                        connection.as_mut().graceful_shutdown();
-                        connection.await
-                    }
-                }
+            Some(_) => {
+                self.has_unread_data.store(true, Ordering::Relaxed);
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
             }
-        };
+        }
+        Ok(response)
     }
 }
--- a/crates/fescuelock-operators/src/admin.rs
+++ b/crates/fescuelock-operators/src/admin.rs
@@ -6,9 +6,9 @@
 use fescuelock_core::ids::KeyHash;
 use fescuelock_http::body::Body;
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 
 /// `NodeStatus` is the body of a node's `/status` response.
@@ -53,7 +53,10 @@
 }
 
 impl<S: StatusSource> Handler for AdminHandler<S> {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move { self.respond(request.uri().path(), request.headers()) })
     }
 }
--- a/crates/fescuelock-router/src/handler.rs
+++ b/crates/fescuelock-router/src/handler.rs
@@ -24,13 +24,13 @@
 use fescuelock_core::tasks::TaskGroup;
 use fescuelock_http::body::Body;
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use fescuelock_store::bills::BillRecorder;
 use fescuelock_store::claims::ClaimStore;
 use fescuelock_upstreams::dispatch::{AnsweredAttempt, Assignment, AttemptResult, Dispatcher};
 use fescuelock_upstreams::registry::UpstreamHandle;
 use http::{Method, Request, Response};
-use hyper::body::Incoming;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -122,7 +122,7 @@
     /// The team of the caller.
     pub team: TeamKey,
     /// The request.
-    pub request: Request<Incoming>,
+    pub request: Request<RequestBody>,
     /// Keeps the request counted as in flight.
     pub in_flight_guard: InFlightGuard,
 }
@@ -131,14 +131,17 @@
 pub type Failure = Box<Outcome>;
 
 impl Handler for RequestHandler {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(self.respond(request))
     }
 }
 
 impl RequestHandler {
     /// Routes one request by method and path and returns its response.
-    async fn respond(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    async fn respond(self: Arc<Self>, request: Request<RequestBody>) -> Response<Body> {
         self.counters.count(Counter::Requests);
         let id = self.with_rng(RequestId::random);
         let attempt = RequestProgress::new();
@@ -168,7 +171,11 @@
     }
 
     /// Checks that the node may accept the request and authenticates the caller.
-    fn admit(&self, id: RequestId, request: Request<Incoming>) -> Result<AdmittedRequest, Refusal> {
+    fn admit(
+        &self,
+        id: RequestId,
+        request: Request<RequestBody>,
+    ) -> Result<AdmittedRequest, Refusal> {
         let snapshot = self.config.current();
         if snapshot.generation == Generation::default() {
             return Err(Refusal::NotReady);
--- a/crates/fescuelock-standin/src/control.rs
+++ b/crates/fescuelock-standin/src/control.rs
@@ -4,9 +4,9 @@
 
 use fescuelock_http::body::{Body, read_all};
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use http::{Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
@@ -35,7 +35,7 @@
 }
 
 impl ControlApi {
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<RequestBody>) -> Response<Body> {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         let body = read_all(request.into_body(), REQUEST_MAX_BYTES).await.unwrap_or_default();
@@ -96,7 +96,10 @@
 }
 
 impl Handler for ControlApi {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move { self.answer(request).await })
     }
 }
--- a/crates/fescuelock-standin/src/engine.rs
+++ b/crates/fescuelock-standin/src/engine.rs
@@ -12,9 +12,9 @@
 use bytes::Bytes;
 use fescuelock_http::body::{Body, BodySender, read_all};
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use hyper::body::Incoming;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -205,7 +205,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(self: Arc<Self>, request: Request<RequestBody>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/chat/completions") => self.chat(request).await,
 
@@ -217,7 +217,7 @@
         }
     }
 
-    async fn chat(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    async fn chat(self: Arc<Self>, request: Request<RequestBody>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let id = head.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or("-");
         let Ok(body) = read_all(body, REQUEST_MAX_BYTES).await else {
@@ -427,7 +427,7 @@
     }
 
     /// Performs a command, or rejects it if its fencing token is stale and the engine checks that.
-    async fn run_command(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn run_command(&self, request: Request<RequestBody>) -> Response<Body> {
         let body = read_all(request.into_body(), REQUEST_MAX_BYTES).await.unwrap_or_default();
         let Ok(command) = serde_json::from_slice::<EngineCommand>(&body) else {
             return status_response(StatusCode::BAD_REQUEST);
@@ -447,7 +447,10 @@
 }
 
 impl Handler for EngineStandin {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(self.answer(request))
     }
 }
--- a/crates/fescuelock-standin/src/platform.rs
+++ b/crates/fescuelock-standin/src/platform.rs
@@ -9,10 +9,10 @@
 use bytes::Bytes;
 use fescuelock_http::body::{Body, read_all};
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body::Body as _;
-use hyper::body::Incoming;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -144,7 +144,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<RequestBody>) -> Response<Body> {
         let faults = self.count_call(request.method());
         if faults.silent {
             sleep(Duration::from_millis(UNANSWERED_HOLD_MS)).await;
@@ -302,7 +302,10 @@
 }
 
 impl Handler for PlatformStandin {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move { self.answer(request).await })
     }
 }
--- a/crates/fescuelock-standin/src/rating.rs
+++ b/crates/fescuelock-standin/src/rating.rs
@@ -5,9 +5,9 @@
 
 use fescuelock_http::body::Body;
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::time::Instant;
 
@@ -60,7 +60,10 @@
 }
 
 impl Handler for RatingStandin {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
             match request.uri().path() {
                 "/v1/ratings" => {
--- a/crates/fescuelock-standin/src/service.rs
+++ b/crates/fescuelock-standin/src/service.rs
@@ -6,9 +6,9 @@
 
 use fescuelock_http::body::{Body, read_all};
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use http::{HeaderValue, Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
@@ -56,7 +56,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<RequestBody>) -> Response<Body> {
         let (head, body) = request.into_parts();
         let header = head.headers.get("x-request-id").cloned();
         let id = header.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-").to_owned();
@@ -107,7 +107,10 @@
 }
 
 impl Handler for ServiceStandin {
-    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, Response<Body>> {
+    fn handle(
+        self: Arc<Self>,
+        request: Request<RequestBody>,
+    ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move { self.answer(request).await })
     }
 }
