http: Answer a request during which the router panics

A panic while a request was handled ended the task of its connection: callers saw a closed connection, other requests on an HTTP/2 connection were lost with it, and nothing was counted.

The server catches panics and answers with 500. Both fronts answer for themselves, with the request's id and the outcome "unknown", never "not run", and count `requests.panicked` and `requests.unknown`. The log has the panic, and the request's last line says "failed" instead of "abandoned".

Failed before: `panic_unanswered` printed "Http1 /panic: the connection failed: connection closed before message completed". Now it passes with HTTP/1.1 and HTTP/2, and the connection serves the next request.

--- a/crates/fescuelock-core/src/counters.rs
+++ b/crates/fescuelock-core/src/counters.rs
@@ -37,6 +37,8 @@
     RequestsNotRun => "requests.not_run",
     /// Requests that ended with an unknown outcome.
     RequestsUnknown => "requests.unknown",
+    /// Requests whose handling ended in a panic of the router.
+    RequestsPanicked => "requests.panicked",
     /// Sends of a request after its first one.
     Retries => "retries",
     /// Interrupted streams that were resumed on another upstream.
--- a/crates/fescuelock-core/src/outcome.rs
+++ b/crates/fescuelock-core/src/outcome.rs
@@ -79,6 +79,8 @@
     AlreadyAttempted,
     /// The router aborted the request because requests like it crash upstreams.
     Aborted,
+    /// An internal error of the router ended the request.
+    Internal,
 }
 
 /// `Outcome` is the outcome of a request without a response to forward: not run, or unknown.
@@ -214,6 +216,7 @@
             UnknownCause::AnswerCut => "answer_cut",
             UnknownCause::AlreadyAttempted => "already_attempted",
             UnknownCause::Aborted => "aborted",
+            UnknownCause::Internal => "internal",
         }
     }
 
@@ -222,6 +225,7 @@
         match self {
             UnknownCause::AnswerTimeout => 504,
             UnknownCause::AlreadyAttempted => 409,
+            UnknownCause::Internal => 500,
             UnknownCause::ConnectionLost
             | UnknownCause::AnswerInvalid
             | UnknownCause::AnswerCut
@@ -242,6 +246,7 @@
             UnknownCause::Aborted => {
                 "the request was aborted because requests like it crash upstreams"
             }
+            UnknownCause::Internal => "an internal error of the router ended the request",
         }
     }
 }
--- a/crates/fescuelock-gateway/src/handler.rs
+++ b/crates/fescuelock-gateway/src/handler.rs
@@ -7,11 +7,12 @@
 
 use bytes::Bytes;
 use fescuelock_core::counters::Counter;
-use fescuelock_core::outcome::{Outcome, RequestProgress};
+use fescuelock_core::outcome::{Outcome, RequestProgress, Unknown, UnknownCause};
 use fescuelock_core::refusal::Refusal;
 use fescuelock_http::Error as HttpError;
 use fescuelock_http::body::{Body, read_all};
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::panics;
 use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use fescuelock_platform::protocol::{self, RequestHead};
@@ -20,9 +21,11 @@
 };
 use fescuelock_policy::placement::hash_name;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
+use slog::error;
 use tokio::time::{Instant, timeout};
 
-use crate::metrics::LatencyHistogram;
+use crate::error_response;
+use crate::metrics::{LabelledCounter, LatencyHistogram};
 use crate::node_state::NodeState;
 use crate::serve::{self, RequestFailure};
 use crate::trace::Trace;
@@ -175,7 +178,10 @@
         request: Request<RequestBody>,
     ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
-            let mut response = handle_request(&self.node_state, request).await;
+            let id = request.headers().get(protocol::REQUEST_ID).cloned();
+            let handled = panics::catch(handle_request(&self.node_state, request)).await;
+            let mut response = handled
+                .unwrap_or_else(|panic| respond_to_panic(&self.node_state, id.as_ref(), &panic));
             if self.node_state.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -185,6 +191,21 @@
     }
 }
 
+/// Builds the response to a request whose handling panicked. An upstream may have run it.
+fn respond_to_panic(
+    node_state: &NodeState,
+    id: Option<&HeaderValue>,
+    panic: &str,
+) -> Response<Body> {
+    let id = id.and_then(|id| id.to_str().ok());
+    let cause = UnknownCause::Internal;
+    error!(node_state.logger, "request handling panicked"; "request" => id, "panic" => panic);
+    node_state.metrics.count(LabelledCounter::Failures, &[("reason", cause.code())]);
+    node_state.counters.count(Counter::RequestsPanicked);
+    node_state.counters.count(Counter::RequestsUnknown);
+    error_response::build(id, &Outcome::Unknown(Unknown::after_send(cause)), None)
+}
+
 /// Handles one request from its arrival to the head of its response.
 async fn handle_request(
     node_state: &Arc<NodeState>,
--- a/crates/fescuelock-gateway/src/trace.rs
+++ b/crates/fescuelock-gateway/src/trace.rs
@@ -1,5 +1,6 @@
 //! Collects the routing decisions about one request and logs them when it ends.
 
+use http::StatusCode;
 use slog::{Logger, info};
 use tokio::time::Instant;
 
@@ -103,12 +104,17 @@
 }
 
 impl Drop for Trace {
-    /// Logs the end of a request that was dropped because its caller disconnected or the node shut
-    /// down.
+    /// Logs the end of a request that was dropped because its caller disconnected, the node shut
+    /// down or its handling panicked.
     fn drop(&mut self) {
         if !self.is_finished {
             let elapsed_ms = self.elapsed_ms();
-            self.log_end("abandoned", 0, elapsed_ms);
+            match std::thread::panicking() {
+                true => {
+                    self.log_end("failed", StatusCode::INTERNAL_SERVER_ERROR.as_u16(), elapsed_ms)
+                }
+                false => self.log_end("abandoned", 0, elapsed_ms),
+            }
         }
     }
 }
--- a/crates/fescuelock-http/src/lib.rs
+++ b/crates/fescuelock-http/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod discard;
 pub mod errors;
 pub mod net;
+pub mod panics;
 pub mod pool;
 pub mod request_body;
 pub mod server;
--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::ArcSwap;
 use fescuelock_core::tasks::TaskGroup;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
@@ -20,6 +20,7 @@
 use crate::body::Body;
 use crate::discard::{self, DiscardOptions, may_keep_alive};
 use crate::net::{BoxFuture, BoxIo, Listener};
+use crate::panics;
 use crate::pool::HttpVersion;
 use crate::request_body::{RequestBody, UnreadSlot};
 
@@ -153,7 +154,7 @@
             let handler = Arc::clone(&handler);
             // A stream ends without touching the others, whatever was left unread.
             let request = request.map(|body| RequestBody::new(body, UnreadSlot::default()));
-            async move { Ok::<_, Infallible>(handler.handle(request).await) }
+            async move { Ok::<_, Infallible>(handle(handler, request).await) }
         });
         let builder = http2::Builder::new(TokioExecutor::new());
         let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(io), service));
@@ -169,6 +170,17 @@
     }
 }
 
+/// Handles a request. A panic is answered with an empty response of status 500, since the request
+/// may have been executed.
+async fn handle(handler: Arc<impl Handler>, request: Request<RequestBody>) -> Response<Body> {
+    let handled = panics::catch(async move { handler.handle(request).await }).await;
+    handled.unwrap_or_else(|_| {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        response
+    })
+}
+
 /// `Exchange` handles the requests of one HTTP/1.1 connection.
 struct Exchange<H> {
     handler: Arc<H>,
@@ -197,7 +209,7 @@
         let unread = UnreadSlot::default();
         let expects_continue = request.headers().contains_key(header::EXPECT);
         let request = request.map(|body| RequestBody::new(body, unread.clone()));
-        let mut response = self.handler.handle(request).await;
+        let mut response = handle(Arc::clone(&self.handler), request).await;
         match unread.take() {
             None => {}
 
--- a/crates/fescuelock-router/src/handler.rs
+++ b/crates/fescuelock-router/src/handler.rs
@@ -24,6 +24,7 @@
 use fescuelock_core::tasks::TaskGroup;
 use fescuelock_http::body::Body;
 use fescuelock_http::net::BoxFuture;
+use fescuelock_http::panics;
 use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use fescuelock_store::bills::BillRecorder;
@@ -135,15 +136,25 @@
         self: Arc<Self>,
         request: Request<RequestBody>,
     ) -> BoxFuture<'static, Response<Body>> {
-        Box::pin(self.respond(request))
+        Box::pin(async move {
+            self.counters.count(Counter::Requests);
+            let id = self.with_rng(RequestId::random);
+            let handled = panics::catch(Arc::clone(&self).respond(id, request)).await;
+            handled.unwrap_or_else(|_| {
+                self.counters.count(Counter::RequestsPanicked);
+                self.fail(id, unknown_outcome(Unknown::after_send(UnknownCause::Internal)))
+            })
+        })
     }
 }
 
 impl RequestHandler {
     /// Routes one request by method and path and returns its response.
-    async fn respond(self: Arc<Self>, request: Request<RequestBody>) -> Response<Body> {
-        self.counters.count(Counter::Requests);
-        let id = self.with_rng(RequestId::random);
+    async fn respond(
+        self: Arc<Self>,
+        id: RequestId,
+        request: Request<RequestBody>,
+    ) -> Response<Body> {
         let attempt = RequestProgress::new();
         let admitted = match self.admit(id, request) {
             Ok(admitted) => admitted,
