http: Apply changed limits to open connections

Connections kept the limits of the configuration under which they were accepted: a head that a newer configuration allows got 431 on an old connection, one that it forbids was served, and a connection inside a raised idle limit was closed under its next request.

The header timeout, which also runs while a connection is idle, now ends after the limit at the beginning of the wait or the one in force at its end, whichever is longer. The size of the head is checked against the limit in force, with a buffer of at least 128 KiB, so that a head beyond it gets 431 rather than a close. `ServerOptions::buffer_max_bytes` is `head_max_bytes` now.

--- a/crates/fescuelock-gateway/src/node_state.rs
+++ b/crates/fescuelock-gateway/src/node_state.rs
@@ -25,14 +25,14 @@
 use crate::metrics::{LatencyHistogram, Metrics};
 
 /// Factor from the sum of the configured header and idle timeouts to the server's header timeout.
-/// The server's timeout also runs while a connection is idle. The factor leaves room for limits
-/// that are raised while a connection is open.
+/// The server's timeout also runs while a connection is idle. The factor leaves room for callers
+/// that learn late of a lowered limit.
 const SERVER_HEADER_TIMEOUT_FACTOR: u64 = 4;
 
-/// Smallest read buffer of a connection, in bytes. The HTTP library rejects smaller ones.
-const READ_BUFFER_MIN_BYTES: usize = 8 << 10;
+/// Smallest limit on the headers of a request that is enforced, in bytes.
+const HEAD_MAX_MIN_BYTES: usize = 8 << 10;
 
-/// Buffer space for the request line beyond the largest header section, in bytes.
+/// Space for the request line beyond the largest header section, in bytes.
 const REQUEST_LINE_MAX_BYTES: usize = 2 << 10;
 
 /// `NodeState` holds the state that the tasks of a node share.
@@ -266,7 +266,7 @@
     ServerOptions {
         header_timeout_ms: SERVER_HEADER_TIMEOUT_FACTOR
             * (limits.head_timeout_ms + limits.idle_timeout_ms),
-        buffer_max_bytes: limits.head_max_bytes.max(READ_BUFFER_MIN_BYTES) + REQUEST_LINE_MAX_BYTES,
+        head_max_bytes: limits.head_max_bytes.max(HEAD_MAX_MIN_BYTES) + REQUEST_LINE_MAX_BYTES,
         ..ServerOptions::default()
     }
 }
--- a/crates/fescuelock-http/src/lib.rs
+++ b/crates/fescuelock-http/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod discard;
 pub mod errors;
+mod header_timer;
 pub mod net;
 pub mod panics;
 pub mod pool;
--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -13,12 +13,13 @@
 use hyper::body::Incoming;
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use tokio::io::AsyncWriteExt;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
 use crate::discard::{self, DiscardOptions, may_keep_alive};
+use crate::header_timer::HeaderTimer;
 use crate::net::{BoxFuture, BoxIo, Listener};
 use crate::panics;
 use crate::pool::HttpVersion;
@@ -28,6 +29,10 @@
 /// is out of file descriptors.
 const ACCEPT_RETRY_MS: u64 = 50;
 
+/// Lower bound on the maximum size of a connection's buffer, in bytes. It leaves room for limits on
+/// the request head that are raised while a connection is open.
+const BUFFER_MIN_BYTES: usize = 128 << 10;
+
 /// `Handler` handles requests.
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to one request.
@@ -40,18 +45,21 @@
 pub struct ServerOptions {
     /// HTTP version. Defaults to HTTP/1.1.
     pub version: HttpVersion,
-    /// Timeout for reading the headers of a request, in milliseconds. Defaults to 10,000.
+    /// Timeout for reading the headers of a request, in milliseconds. It also runs while a
+    /// connection is idle. Defaults to 10,000.
     pub header_timeout_ms: u64,
     /// Maximum number of headers of a request. Defaults to 200.
     pub headers_max: usize,
-    /// Maximum size of a connection's buffer, in bytes. Defaults to 64 KiB.
-    pub buffer_max_bytes: usize,
+    /// Maximum size of a request's line and headers, in bytes. Defaults to 64 KiB.
+    pub head_max_bytes: usize,
     /// Bounds on reading a request on after it was answered.
     pub discard: DiscardOptions,
 }
 
-/// `SharedOptions` holds options that may change while a server runs. A connection keeps the
-/// options from when it was accepted.
+/// `SharedOptions` holds options that may change while a server runs.
+///
+/// Open connections follow changes of the limits on time and size. The HTTP version and the maximum
+/// number of headers are those from when the connection was accepted.
 pub type SharedOptions = Arc<ArcSwap<ServerOptions>>;
 
 impl ServerOptions {
@@ -67,7 +75,7 @@
             version: HttpVersion::Http1,
             header_timeout_ms: 10_000,
             headers_max: 200,
-            buffer_max_bytes: 64 << 10,
+            head_max_bytes: 64 << 10,
             discard: DiscardOptions::default(),
         }
     }
@@ -113,14 +121,14 @@
         let has_unread_data = Arc::new(AtomicBool::new(false));
         let mut builder = http1::Builder::new();
         builder
-            .timer(TokioTimer::new())
+            .timer(HeaderTimer { options: Arc::clone(&self.options) })
             .header_read_timeout(Duration::from_millis(options.header_timeout_ms))
             .max_headers(options.headers_max)
-            .max_buf_size(options.buffer_max_bytes);
+            .max_buf_size(options.head_max_bytes.max(BUFFER_MIN_BYTES));
         let exchange = Exchange {
             handler,
             tasks: self.tasks.clone(),
-            discard: options.discard.clone(),
+            options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&has_unread_data),
         };
@@ -142,6 +150,7 @@
         let has_rejected_head = ended.is_err_and(|error| error.is_parse());
         let mut io = connection.into_parts().io.into_inner();
         if has_rejected_head || has_unread_data.load(Ordering::Relaxed) {
+            let options = self.options.load_full();
             discard::close_in_order(io, &options.discard, &self.stop).await;
         } else {
             // The peer is gone if this fails.
@@ -174,18 +183,31 @@
 /// may have been executed.
 async fn handle(handler: Arc<impl Handler>, request: Request<RequestBody>) -> Response<Body> {
     let handled = panics::catch(async move { handler.handle(request).await }).await;
-    handled.unwrap_or_else(|_| {
-        let mut response = Response::new(Body::empty());
-        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-        response
-    })
+    handled.unwrap_or_else(|_| empty_response(StatusCode::INTERNAL_SERVER_ERROR))
+}
+
+fn empty_response(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Returns the size of a request's line and headers, in bytes.
+fn head_bytes<B>(request: &Request<B>) -> usize {
+    const LINE_EXTRA_BYTES: usize = "  HTTP/1.1\r\n\r\n".len();
+    const HEADER_EXTRA_BYTES: usize = ": \r\n".len();
+    let target_bytes = request.uri().path_and_query().map_or(1, |target| target.as_str().len());
+    let headers = request.headers().iter();
+    let headers_bytes: usize =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_EXTRA_BYTES).sum();
+    request.method().as_str().len() + target_bytes + LINE_EXTRA_BYTES + headers_bytes
 }
 
 /// `Exchange` handles the requests of one HTTP/1.1 connection.
 struct Exchange<H> {
     handler: Arc<H>,
     tasks: TaskGroup,
-    discard: DiscardOptions,
+    options: SharedOptions,
     stop: CancellationToken,
     /// Set when a response closes the connection before its request has been read.
     has_unread_data: Arc<AtomicBool>,
@@ -196,7 +218,7 @@
         Exchange {
             handler: Arc::clone(&self.handler),
             tasks: self.tasks.clone(),
-            discard: self.discard.clone(),
+            options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&self.has_unread_data),
         }
@@ -206,17 +228,24 @@
 impl<H: Handler> Exchange<H> {
     /// Handles one request. What the handler leaves unread of its body is discarded.
     async fn respond(self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        let options = self.options.load_full();
         let unread = UnreadSlot::default();
         let expects_continue = request.headers().contains_key(header::EXPECT);
         let request = request.map(|body| RequestBody::new(body, unread.clone()));
-        let mut response = handle(Arc::clone(&self.handler), request).await;
+        let mut response = match head_bytes(&request) > options.head_max_bytes {
+            true => {
+                drop(request);
+                empty_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
+            }
+            false => handle(Arc::clone(&self.handler), request).await,
+        };
         match unread.take() {
             None => {}
 
-            Some(body) if may_keep_alive(&body, expects_continue, &self.discard) => {
-                let Exchange { discard, stop, .. } = self;
+            Some(body) if may_keep_alive(&body, expects_continue, &options.discard) => {
+                let stop = self.stop;
                 self.tasks.spawn(async move {
-                    discard::discard_body(body.incoming, &discard, &stop).await;
+                    discard::discard_body(body.incoming, &options.discard, &stop).await;
                 });
             }
 
