http: End a streamed body only when its sender says so

Dropping the sender of a streamed body ended the body cleanly, so that a panic or a cancelled task in a relay looked like a complete answer.

`BodySender::finish` is the only clean end now. A sender that is dropped otherwise aborts the body. Relays and stand-ins say where theirs end.

Failed before: `cut_looks_complete` printed "Http1 /drop: left: Some(b"chunkchunkchunk"), right: None". Now it passes for aborted and dropped senders, panics and cancelled tasks, with HTTP/1.1 and HTTP/2.

--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -402,6 +402,7 @@
             elapsed_ms,
         );
         self.trace.finish(outcome, 200, self.first_event_ms);
+        self.sender.finish();
     }
 
     /// Aborts the response body, so that the caller cannot take the stream for complete.
--- a/crates/fescuelock-http/src/body.rs
+++ b/crates/fescuelock-http/src/body.rs
@@ -1,7 +1,9 @@
 //! Message bodies: buffered ones, streamed ones, and reading with a size limit.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,13 +31,24 @@
     /// The complete body is in memory.
     Buffered(Full<Bytes>),
     /// The body arrives in chunks over a channel.
-    Streamed(mpsc::Receiver<std::result::Result<Bytes, Aborted>>),
+    Streamed(StreamedBody),
 }
 
-/// `BodySender` sends the chunks of a streamed body. Dropping all its clones ends the body cleanly.
-#[derive(Debug, Clone)]
+/// `StreamedBody` is the receiving side of a streamed body.
+#[derive(Debug)]
+pub struct StreamedBody {
+    chunks: mpsc::Receiver<Bytes>,
+    is_finished: Arc<AtomicBool>,
+}
+
+/// `BodySender` sends the chunks of a streamed body.
+///
+/// Only [`BodySender::finish`] ends the body cleanly. A sender that is dropped otherwise, as by a
+/// panic, aborts it.
+#[derive(Debug)]
 pub struct BodySender {
-    chunks: mpsc::Sender<std::result::Result<Bytes, Aborted>>,
+    chunks: mpsc::Sender<Bytes>,
+    is_finished: Arc<AtomicBool>,
 }
 
 impl Body {
@@ -52,14 +65,21 @@
     /// Builds a streamed body and its sender.
     pub fn streamed() -> (BodySender, Self) {
         let (chunks, receiver) = mpsc::channel(CHANNEL_CAPACITY_CHUNKS);
-        (BodySender { chunks }, Body::Streamed(receiver))
+        let is_finished = Arc::new(AtomicBool::new(false));
+        let body = StreamedBody { chunks: receiver, is_finished: Arc::clone(&is_finished) };
+        (BodySender { chunks, is_finished }, Body::Streamed(body))
     }
 }
 
 impl BodySender {
     /// Sends a chunk. Returns `false` if the receiver was dropped.
     pub async fn send(&self, chunk: Bytes) -> bool {
-        self.chunks.send(Ok(chunk)).await.is_ok()
+        self.chunks.send(chunk).await.is_ok()
+    }
+
+    /// Ends the body cleanly after all chunks that were sent.
+    pub fn finish(self) {
+        self.is_finished.store(true, Ordering::Release);
     }
 
     /// Ends the body with an error, never as a clean end, after the connection has written all
@@ -71,8 +91,6 @@
         }
         // On the error, the connection discards data that it has not written yet.
         sleep(Duration::from_millis(ABORT_FLUSH_DELAY_MS)).await;
-        // If the receiver was dropped, there is no one to tell.
-        let _ = self.chunks.send(Err(Aborted)).await;
     }
 
     /// Waits until the receiver is dropped.
@@ -94,9 +112,11 @@
                 Pin::new(full).poll_frame(context).map_err(|never| match never {})
             }
 
-            Body::Streamed(chunks) => {
-                chunks.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Body::Streamed(body) => match ready!(body.chunks.poll_recv(context)) {
+                Some(chunk) => Poll::Ready(Some(Ok(Frame::data(chunk)))),
+                None if body.is_finished.load(Ordering::Acquire) => Poll::Ready(None),
+                None => Poll::Ready(Some(Err(Aborted))),
+            },
         }
     }
 
--- a/crates/fescuelock-router/src/relay.rs
+++ b/crates/fescuelock-router/src/relay.rs
@@ -159,6 +159,7 @@
         let version = &self.placed.assignment.serving;
         let events = responses::final_events(self.placed.id, version, usage, cost_micros);
         self.sender.send(Bytes::from(events)).await;
+        self.sender.finish();
     }
 
     /// Bills what was generated for a caller that disconnected. Dropping the connection cancels the
--- a/crates/fescuelock-standin/src/engine.rs
+++ b/crates/fescuelock-standin/src/engine.rs
@@ -365,10 +365,11 @@
                 self.finish(&completion, index - completion.first_token, false);
                 if completion.cut_with_marker {
                     sender.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
-                } else if !completion.cut_cleanly {
-                    sender.abort().await;
                 }
-                return;
+                return match completion.cut_with_marker || completion.cut_cleanly {
+                    true => sender.finish(),
+                    false => sender.abort().await,
+                };
             }
             // Deadlines are computed from the start, so a late wake-up is followed by a burst of
             // tokens, as in an engine that batches.
@@ -394,6 +395,7 @@
         });
         let trailer = format!("data: {last}\n\ndata: {usage}\n\ndata: [DONE]\n\n");
         sender.send(Bytes::from(trailer)).await;
+        sender.finish();
     }
 
     /// Records the generated tokens, counts the answer towards warm-up and has it rated.
