--- a/crates/fescuelock-http/src/lib.rs
+++ b/crates/fescuelock-http/src/lib.rs
@@ -5,9 +5,13 @@
 
 pub mod body;
 pub mod client;
+pub mod discard;
 pub mod errors;
+mod header_timer;
 pub mod net;
+pub mod panics;
 pub mod pool;
+pub mod request_body;
 pub mod server;
 
 pub use errors::{Error, Result};
