gateway: Believe a response without an id only on a new connection

Callers got the answer to another request if an upstream wrote a response without an id once more on a kept connection: ids were compared only where both the request and the response had one.

The decision is now a plain function, `policy::answer_identity`. A response without an id that could be compared counts only if its connection carried no other request. A connection is kept only after a response that carried the id of its request and was no error, and requests without an id get a new one.

stray_answers.rs, failed before: stray_before_answer with "success without id, split at 0, request a2: left (200, "another answer"), right (200, "answer to a2")", unlabelled_not_kept and errors_not_kept with connections that were used again. request_without_id was written with the change and not run before it. Refusals and bookings beside strays passed before as well.

--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -13,6 +13,7 @@
 use fescuelock_http::body::Body;
 use fescuelock_http::pool::Connection;
 use fescuelock_platform::protocol::{self, ResponseHead, RouterHeaders};
+use fescuelock_policy::answer_identity::{self, AnswerIdentity, AnswerLabels};
 use fescuelock_policy::health::Outcome as HealthOutcome;
 use fescuelock_policy::placement::hash_name;
 use http::{HeaderMap, Request, StatusCode};
@@ -57,6 +58,8 @@
     pub attempt: RequestProgress<SentState>,
     /// Values parsed from the headers that the router interprets.
     pub parsed_headers: ResponseHead,
+    /// How far the response is known to belong to the request.
+    pub identity: AnswerIdentity,
     /// Status code.
     pub status: StatusCode,
     /// Headers of the response.
@@ -212,9 +215,15 @@
             load_guard.end_prefill();
             let (parts, body) = response.into_parts();
             let parsed_headers = protocol::parse_response_headers(parts.status, &parts.headers);
+            let identity = answer_identity::identify(&AnswerLabels {
+                request_id: request.parsed_headers.request_id.as_deref(),
+                echoed_id: parsed_headers.request_id.as_deref(),
+                is_connection_reused: connection.is_reused(),
+            });
             let upstream_response = UpstreamResponse {
                 attempt,
                 parsed_headers,
+                identity,
                 status: parts.status,
                 headers: parts.headers,
                 body,
@@ -368,19 +377,14 @@
     options: &AttemptOptions<'_>,
 ) -> Option<UnknownCause> {
     let placement = &upstream_response.placement;
-    let is_mismatched =
-        match (&upstream_response.parsed_headers.request_id, &request.parsed_headers.request_id) {
-            (Some(echoed), Some(id)) => echoed != id,
-            _ => false,
-        };
-    if is_mismatched {
+    if !upstream_response.identity.is_accepted() {
         node_state.counters.count(Counter::AnswersCrossed);
         record_health_outcome(
             node_state,
             request,
             placement,
             HealthOutcome::Failed,
-            "response carries the request id of another request",
+            "response does not carry the id of its request",
         );
         return Some(UnknownCause::AnswerInvalid);
     }
--- a/crates/fescuelock-gateway/src/serve.rs
+++ b/crates/fescuelock-gateway/src/serve.rs
@@ -165,6 +165,7 @@
     let UpstreamResponse {
         attempt,
         parsed_headers,
+        identity,
         status,
         headers,
         body,
@@ -184,7 +185,8 @@
             let response = BufferedResponse { version, status, headers, body };
             if let Some(upstream) = node_state.fleet().upstream_mut(load_guard.key) {
                 upstream.record_latency(request.arrived.elapsed().as_secs_f64() * 1_000.0);
-                if !parsed_headers.closes_connection {
+                let may_keep = identity.may_keep_connection(status.is_server_error());
+                if may_keep && !parsed_headers.closes_connection {
                     upstream.connections.checkin(connection);
                 }
             }
@@ -259,7 +261,10 @@
             last_event_id: request.parsed_headers.last_event_id.filter(|_| is_stream),
             silence_timeout_ms,
             response_timeout_ms,
-            may_reuse_connection: !is_stream && repeat_permission(&request).is_some(),
+            // Without an id, no response on a used connection could be told from a stray one.
+            may_reuse_connection: !is_stream
+                && repeat_permission(&request).is_some()
+                && request.parsed_headers.request_id.is_some(),
             is_trial: state.is_trial,
         };
         let upstream_response = match send_and_classify(
--- a/crates/fescuelock-http/src/pool.rs
+++ b/crates/fescuelock-http/src/pool.rs
@@ -65,6 +65,8 @@
 /// request whose caller disconnected is cancelled immediately.
 struct Http1Sender {
     requests: http1::SendRequest<Body>,
+    /// Number of requests that were passed to the connection.
+    sends: u64,
     _task: AbortOnDropHandle<()>,
 }
 
@@ -202,6 +204,7 @@
                 let task = tokio::spawn(async move { drop(connection.await) });
                 Ok(RequestSender::Http1(Http1Sender {
                     requests,
+                    sends: 0,
                     _task: AbortOnDropHandle::new(task),
                 }))
             }
@@ -225,6 +228,15 @@
 }
 
 impl Connection {
+    /// Returns whether the connection carried another request before the last one, so that a
+    /// response may be a late or repeated one to that request. HTTP/2 assigns responses itself.
+    pub fn is_reused(&self) -> bool {
+        match &self.sender {
+            RequestSender::Http1(sender) => sender.sends > 1,
+            RequestSender::Http2(_) => false,
+        }
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// After a timeout, the connection must be dropped, because the response may still arrive.
@@ -241,7 +253,11 @@
         let limit = Duration::from_millis(limit_ms);
         let response_head = async {
             match &mut self.sender {
-                RequestSender::Http1(sender) => sender.requests.try_send_request(request).await,
+                RequestSender::Http1(sender) => {
+                    sender.sends += 1;
+                    sender.requests.try_send_request(request).await
+                }
+
                 RequestSender::Http2(sender) => sender.try_send_request(request).await,
             }
         };
--- a/crates/fescuelock-policy/src/lib.rs
+++ b/crates/fescuelock-policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! clock. The documentation of each module names the load pattern that its decision handles.
 
 pub mod admission;
+pub mod answer_identity;
 pub mod cold_start;
 pub mod crash_evidence;
 pub mod deployment;
--- a/crates/fescuelock-standin/src/lib.rs
+++ b/crates/fescuelock-standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod platform;
 pub mod rating;
 pub mod reply;
+pub mod scripted;
 pub mod service;
 
 pub use errors::{Error, Result};
