gateway: Continue a stream only with its own rest

Callers of a stream that had broken off got the text of the next engine's error, or its whole head, as if it were part of the stream, or a stream that ended as complete before its last event: any response with a success status was taken for the rest, and text between two blank lines for an event.

`policy::event_stream` now decides both. A response continues a stream if it has a success status, the request's id, no encoding and, where a media type is given, that of event streams. An event must consist of fields, have one id once the stream has ids, and follow right after the last one at the resumption, unless the ids had gaps before. Everything else is not forwarded and cuts the stream, which is resumed elsewhere or aborted. A response without events means that nothing was left only if it says that it is a stream and where it ends.

resumed_answers.rs, failed before: unsuited_rest with "no body: left events 1 to 4, right events 1 to 9", broken_once with ""Internal Server Error\n\n" looks complete". It stops at the first case; the others were not tried one by one before the change.

--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -17,7 +17,7 @@
 
 use crate::crashes;
 use crate::dispatch::{self, AttemptOptions, UpstreamResponse, ms_until};
-use crate::event_reader::EventReader;
+use crate::event_reader::{self, EventReader};
 use crate::handler::RoutedRequest;
 use crate::metrics::LatencyHistogram;
 use crate::node_state::NodeState;
@@ -112,7 +112,8 @@
         &upstream_response.placement.version,
         first_event_ms,
     );
-    let reader = EventReader::new(request.parsed_headers.last_event_id);
+    let states_end = event_reader::states_end(&upstream_response.headers);
+    let reader = EventReader::new(request.parsed_headers.last_event_id, states_end);
     let relay = Relay {
         node_state: Arc::clone(node_state),
         request,
@@ -159,7 +160,11 @@
                         state.record_loss(node_state, request, key, cause, trace).await;
                     }
                     match self.resume(attempt, cause).await {
-                        Some(next) => upstream_response = next,
+                        Some(next) => {
+                            self.reader.resume(event_reader::states_end(&next.headers));
+                            upstream_response = next;
+                        }
+
                         None => return self.fail("cut").await,
                     }
                 }
@@ -188,9 +193,7 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_)) => break UnknownCause::AnswerCut,
                 // A response without length ends with its connection, also if the engine ends.
-                None if self.reader.has_partial() || self.reader.last_id().is_none() => {
-                    break UnknownCause::AnswerCut;
-                }
+                None if !self.reader.is_complete() => break UnknownCause::AnswerCut,
                 None => {
                     // Connections of streams are not reused.
                     drop(connection);
@@ -216,6 +219,9 @@
             if !events.is_empty() && !self.sender.send(events).await {
                 return ForwardEnd::CallerDisconnected;
             }
+            if self.reader.is_invalid() {
+                break UnknownCause::AnswerInvalid;
+            }
             self.record_event_interval(&mut measurement, &placement, INTERVAL_EVENTS_MIN);
         };
         let outcome = match cause {
@@ -344,7 +350,7 @@
             };
             match result {
                 AttemptResult::Received(upstream_response)
-                    if upstream_response.status.is_success() =>
+                    if event_reader::may_continue(&self.request, &upstream_response) =>
                 {
                     self.node_state.counters.count(Counter::StreamsResumed);
                     return Some(*upstream_response);
--- a/crates/fescuelock-policy/src/lib.rs
+++ b/crates/fescuelock-policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod crash_evidence;
 pub mod deployment;
 pub mod escalation;
+pub mod event_stream;
 pub mod health;
 pub mod node;
 pub mod placement;
