--- a/crates/fescuelock-gateway/src/hedge.rs
+++ b/crates/fescuelock-gateway/src/hedge.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use crate::dispatch::{self, AttemptOptions, SendResult, UpstreamResponse};
+use crate::event_reader;
 use crate::handler::RoutedRequest;
 use crate::metrics::LabelledCounter;
 use crate::node_state::NodeState;
@@ -37,8 +38,9 @@
     pub placement: &'a Placement,
     /// Time of the last byte for this request, or of its send, in milliseconds.
     pub since_ms: u64,
-    /// Whether [`RequestState::sends`] includes the attempt.
-    pub is_counted: bool,
+    /// Whether its response has begun. Then [`RequestState::sends`] includes the attempt, and the
+    /// response of a second upstream has to continue it.
+    pub has_response: bool,
 }
 
 /// `HedgeProgress` tracks the second send of a request beside its first one.
@@ -94,7 +96,7 @@
     let first = FirstAttempt {
         placement: &first_placement,
         since_ms: node_state.now_ms(),
-        is_counted: false,
+        has_response: false,
     };
     let hedge_progress = HedgeProgress::default();
     let (first_result, hedged) = {
@@ -181,9 +183,24 @@
             let second =
                 send_second(node_state, request, state, placement, options, progress, trace).await;
             match second {
-                Some(response) => return Some(Hedged { response, cause }),
-                None if progress.is_first_over.load(Ordering::Relaxed) => return None,
-                None => {}
+                Some(response)
+                    if !first.has_response || event_reader::may_continue(request, &response) =>
+                {
+                    trace.add("second send answered", format!("by {}", response.placement.id));
+                    count(node_state, "used");
+                    return Some(Hedged { response, cause });
+                }
+
+                Some(response) => {
+                    let reason = "the response does not continue the stream";
+                    trace.add("second send failed", format!("{}: {reason}", response.placement.id));
+                    count(node_state, "failed");
+                }
+
+                None => count(node_state, "failed"),
+            }
+            if progress.is_first_over.load(Ordering::Relaxed) {
+                return None;
             }
         }
         sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
@@ -215,7 +232,7 @@
     options: &AttemptOptions<'_>,
 ) -> Option<Placement> {
     serve::repeat_permission(request)?;
-    let uncounted_sends = if first.is_counted { 0 } else { 1 };
+    let uncounted_sends = u32::from(!first.has_response);
     // A request that may crash its engine is given to one engine at a time.
     let prompt = &request.parsed_headers.prompt;
     let verdict = node_state.fleet().prompt_verdict(prompt, node_state.now_ms());
@@ -259,12 +276,10 @@
     let pending = PendingRequest::hedge(serve::repeat_permission(request)?);
     let result = dispatch::send(node_state, request, pending, placement, options).await;
     progress.is_in_flight.store(false, Ordering::Relaxed);
-    let is_used = is_usable(&result) && !matches!(result, SendResult::Aborted);
-    count(node_state, if is_used { "used" } else { "failed" });
+    let is_used = is_usable(&result);
     match result {
         SendResult::Received(response) if is_used => {
             state.sends += 1;
-            trace.add("second send answered", format!("by {upstream_id}"));
             Some(response)
         }
 
--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -21,7 +21,7 @@
 
 use crate::crashes;
 use crate::dispatch::{self, AttemptOptions, UpstreamResponse, ms_until};
-use crate::event_reader::EventReader;
+use crate::event_reader::{self, EventReader};
 use crate::handler::RoutedRequest;
 use crate::hedge::{self, FirstAttempt, HedgeProgress, Hedged};
 use crate::metrics::LatencyHistogram;
@@ -141,7 +141,8 @@
         &upstream_response.placement.version,
         first_event_ms,
     );
-    let reader = EventReader::new(request.parsed_headers.last_event_id);
+    let states_end = event_reader::states_end(&upstream_response.headers);
+    let reader = EventReader::new(request.parsed_headers.last_event_id, states_end);
     let relay = Relay {
         node_state: Arc::clone(node_state),
         request,
@@ -180,7 +181,7 @@
                     if let Some(interruption) = &interruption {
                         self.record_interruption(interruption).await;
                     }
-                    self.reader.discard_partial();
+                    self.reader.resume(event_reader::states_end(&next.headers));
                     self.node_state.counters.count(Counter::StreamsResumed);
                     upstream_response = *next;
                 }
@@ -190,7 +191,11 @@
                     self.reader.discard_partial();
                     let Interruption { attempt, cause, .. } = interruption;
                     match self.resume(attempt, cause).await {
-                        Some(next) => upstream_response = next,
+                        Some(next) => {
+                            self.reader.resume(event_reader::states_end(&next.headers));
+                            upstream_response = next;
+                        }
+
                         None => return self.fail("cut").await,
                     }
                 }
@@ -277,7 +282,7 @@
             let first = FirstAttempt {
                 placement: &placement,
                 since_ms: self.node_state.now_ms(),
-                is_counted: true,
+                has_response: true,
             };
             let frame = match self.next_step(&mut body, first, is_begun).await {
                 Step::Frame(frame) => frame,
@@ -302,9 +307,7 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(_)) => break UnknownCause::AnswerCut,
                 // A response without length ends with its connection, also if the engine ends.
-                None if self.reader.has_partial() || self.reader.last_id().is_none() => {
-                    break UnknownCause::AnswerCut;
-                }
+                None if !self.reader.is_complete() => break UnknownCause::AnswerCut,
                 None => {
                     // Connections of streams are not reused.
                     drop(connection);
@@ -328,6 +331,9 @@
             if !events.is_empty() && !self.sender.send(events).await {
                 return ForwardEnd::CallerDisconnected;
             }
+            if self.reader.is_invalid() {
+                break UnknownCause::AnswerInvalid;
+            }
             self.record_event_interval(&mut measurement, &placement, INTERVAL_EVENTS_MIN);
         };
         ForwardEnd::Cut(self.interruption(attempt, cause, &placement, is_begun))
@@ -414,7 +420,7 @@
             };
             match result {
                 AttemptResult::Received(upstream_response)
-                    if upstream_response.status.is_success() =>
+                    if event_reader::may_continue(&self.request, &upstream_response) =>
                 {
                     self.node_state.counters.count(Counter::StreamsResumed);
                     return Some(*upstream_response);
@@ -493,7 +499,7 @@
     match frame {
         Some(Ok(_)) => false,
         Some(Err(_)) => true,
-        None => reader.has_partial() || reader.last_id().is_none(),
+        None => !reader.is_complete(),
     }
 }
 
--- a/crates/fescuelock-policy/src/lib.rs
+++ b/crates/fescuelock-policy/src/lib.rs
@@ -4,10 +4,12 @@
 //! clock. The documentation of each module names the load pattern that its decision handles.
 
 pub mod admission;
+pub mod answer_identity;
 pub mod cold_start;
 pub mod crash_evidence;
 pub mod deployment;
 pub mod escalation;
+pub mod event_stream;
 pub mod health;
 pub mod node;
 pub mod placement;
