--- a/crates/fescuelock-http/tests/changed_limits.rs
+++ b/crates/fescuelock-http/tests/changed_limits.rs
@@ -31,8 +31,8 @@
 
 impl Connection {
     async fn open(options: ServerOptions) -> Self {
-        let listener = TcpNetwork.listen("127.0.0.1:0").await.unwrap();
-        let stream = TcpStream::connect(listener.address()).await.unwrap();
+        let listener = TcpNetwork.listen("127.0.0.1:0").await.expect("listen on a loopback port");
+        let stream = TcpStream::connect(listener.address()).await.expect("connect to the server");
         let (options, tasks) = (options.shared(), TaskGroup::default());
         let (shared, stop) = (Arc::clone(&options), CancellationToken::new());
         let server = Server { options: shared, tasks: tasks.clone(), stop };
--- a/crates/fescuelock-http/tests/early_answers.rs
+++ b/crates/fescuelock-http/tests/early_answers.rs
@@ -26,27 +26,27 @@
 /// while, and answers the next request.
 async fn answer_early(mut stream: TcpStream, received: Received, read_after_ms: u64) {
     let mut bytes = vec![0; 256];
-    let read_bytes = stream.read(&mut bytes).await.unwrap();
+    let read_bytes = stream.read(&mut bytes).await.expect("read the head");
     bytes.truncate(read_bytes);
-    stream.write_all(ANSWER).await.unwrap();
+    stream.write_all(ANSWER).await.expect("write the answer");
     sleep(Duration::from_millis(read_after_ms)).await;
     let reading = async {
         let mut buffer = vec![0; 1 << 20];
         while let Ok(read_bytes @ 1..) = stream.read(&mut buffer).await {
             bytes.extend_from_slice(&buffer[..read_bytes]);
             if bytes.ends_with(b"\r\n\r\nb") {
-                stream.write_all(ANSWER).await.unwrap();
+                stream.write_all(ANSWER).await.expect("write the answer");
             }
         }
     };
     let _ = timeout(Duration::from_millis(2_000), reading).await;
-    received.lock().unwrap().push(bytes);
+    received.lock().expect("no test panics with the lock").push(bytes);
 }
 
 /// Starts an upstream and returns its address and what it receives.
 async fn start_upstream(read_after_ms: u64) -> (String, Received) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("listen on a loopback port");
+    let address = listener.local_addr().expect("the listener has an address").to_string();
     let received = Received::default();
     let shared = Arc::clone(&received);
     tokio::spawn(async move {
@@ -59,7 +59,8 @@
 
 /// Sends a request on a pooled connection and returns the connection to the pool.
 async fn exchange(pool: &Pool, path: &str, body: Body) -> fescuelock_http::Result<Bytes> {
-    let request = Request::post(path).header(header::HOST, "x").body(body).unwrap();
+    let request =
+        Request::post(path).header(header::HOST, "x").body(body).expect("build a request");
     let mut connection = pool.checkout().await?;
     let response = connection.send(request, 1_000).await?;
     let answer = read_all(response.into_body(), 100).await?;
--- a/crates/fescuelock-http/tests/panics.rs
+++ b/crates/fescuelock-http/tests/panics.rs
@@ -29,7 +29,7 @@
 }
 
 async fn start_server(version: HttpVersion) -> Pool {
-    let listener = TcpNetwork.listen("127.0.0.1:0").await.unwrap();
+    let listener = TcpNetwork.listen("127.0.0.1:0").await.expect("listen on a loopback port");
     let address = listener.address();
     let tasks = TaskGroup::default();
     let server = Server {
--- a/crates/fescuelock-http/tests/streamed_bodies.rs
+++ b/crates/fescuelock-http/tests/streamed_bodies.rs
@@ -54,7 +54,7 @@
 
 /// Returns the body of a response, or `None` if it was incomplete.
 async fn fetch(version: HttpVersion, path: &str) -> Option<Bytes> {
-    let listener = TcpNetwork.listen("127.0.0.1:0").await.unwrap();
+    let listener = TcpNetwork.listen("127.0.0.1:0").await.expect("listen on a loopback port");
     let address = listener.address();
     let tasks = TaskGroup::default();
     let server = Server {
@@ -65,9 +65,10 @@
     tasks.spawn(server.run(listener, Arc::new(Streaming)));
     let options = PoolOptions { version, ..PoolOptions::default() };
     let pool = Pool::new(TcpNetwork::shared(), address, options);
-    let mut connection = pool.open().await.unwrap();
-    let request = Request::get(format!("http://x{path}")).body(Body::empty()).unwrap();
-    let response = connection.send(request, 2_000).await.unwrap();
+    let mut connection = pool.open().await.expect("connect to the server");
+    let request =
+        Request::get(format!("http://x{path}")).body(Body::empty()).expect("build a request");
+    let response = connection.send(request, 2_000).await.expect("receive a response");
     let reading = read_all(response.into_body(), 1_000);
     timeout(Duration::from_secs(2), reading).await.expect("the body ends").ok()
 }
--- a/crates/fescuelock-http/tests/unread_bodies.rs
+++ b/crates/fescuelock-http/tests/unread_bodies.rs
@@ -58,7 +58,7 @@
 
 impl TestServer {
     async fn start(options: ServerOptions) -> Self {
-        let listener = TcpNetwork.listen("127.0.0.1:0").await.unwrap();
+        let listener = TcpNetwork.listen("127.0.0.1:0").await.expect("listen on a loopback port");
         let address = listener.address();
         let (tasks, stop) = (TaskGroup::default(), CancellationToken::new());
         let server = Server { options: options.shared(), tasks: tasks.clone(), stop: stop.clone() };
@@ -67,7 +67,7 @@
     }
 
     async fn connect(&self) -> TcpStream {
-        TcpStream::connect(&self.address).await.unwrap()
+        TcpStream::connect(&self.address).await.expect("connect to the server")
     }
 }
 
@@ -306,9 +306,11 @@
 
 /// Returns the resident memory of this process, in KiB.
 fn resident_kib() -> u64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    let status =
+        std::fs::read_to_string("/proc/self/status").expect("read the status of the process");
+    let line =
+        status.lines().find(|line| line.starts_with("VmRSS:")).expect("find the resident size");
+    line.split_whitespace().nth(1).and_then(|kib| kib.parse().ok()).expect("the size is a number")
 }
 
 #[tokio::test]
