http: Write a response out before its connection closes

Callers that did not read fast enough got the beginning of a response and then the end of the connection, if the request was refused with its body unread, or if the server stopped while a response with `connection: close` was being written. On a stopping node that is each response.

The poll with shutdown flushes the buffer and ends the sending direction first; the rest of the request is still read afterwards.

--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -136,14 +136,15 @@
         let mut connection = builder.serve_connection(TokioIo::new(io), service);
         let mut stopped = std::pin::pin!(self.stop.cancelled());
         let mut is_stopping = false;
+        // Only a poll with shutdown writes out the response before the connection ends.
         let ended = poll_fn(|context| {
-            let ended = connection.poll_without_shutdown(context);
+            let ended = Pin::new(&mut connection).poll(context);
             if ended.is_ready() || is_stopping || stopped.as_mut().poll(context).is_pending() {
                 return ended;
             }
             is_stopping = true;
             Pin::new(&mut connection).graceful_shutdown();
-            connection.poll_without_shutdown(context)
+            Pin::new(&mut connection).poll(context)
         })
         .await;
         // A request head that could not be parsed has been answered, but not read to its end.
