policy: Accept blocks of a stream that hold no event

Callers of an engine that sends a reconnection time (`retry: 3000`) or an additional blank line between its events lost their stream: once a stream had ids, a block without one cut it, unless it was a comment.

A block that consists of comments and reconnection times, or of nothing, is no event and is passed on like a comment. Blocks with any other field still need an id.

blocks_without_event, failed before with "retry: 3000: left Invalid, right Next(None)".

--- a/crates/fescuelock-policy/src/event_stream.rs
+++ b/crates/fescuelock-policy/src/event_stream.rs
@@ -12,6 +12,9 @@
 /// Name of the field that holds an event's id.
 const ID_FIELD: &[u8] = b"id";
 
+/// Name of the field that holds the time after which a client reconnects.
+const RETRY_FIELD: &[u8] = b"retry";
+
 /// `EventCheck` is the result of checking one event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EventCheck {
@@ -88,13 +91,13 @@
 /// Checks one event, with or without the blank line that ends it, at a position of the stream.
 ///
 /// Once a stream has ids, each event must have one, as the stream could not be resumed after an
-/// event without. Comments are no events.
+/// event without. Comments, reconnection times and blank lines are no events.
 pub fn check_event(event: &[u8], position: &StreamPosition) -> EventCheck {
     if !is_well_formed(event) {
         return EventCheck::Invalid;
     }
-    let mut lines = event.split(|&byte| byte == b'\n').filter(|line| !line.is_empty()).peekable();
-    let is_comment = lines.peek().is_some() && lines.clone().all(|line| line.starts_with(b":"));
+    let lines = event.split(|&byte| byte == b'\n').filter(|line| !line.is_empty());
+    let holds_no_event = lines.clone().all(|line| line.starts_with(b":") || is_retry_time(line));
     let mut ids = lines.filter_map(|line| field_value(line, ID_FIELD));
     match (ids.next().map(parse_id), ids.next(), position.last_id) {
         (Some(Some(id)), None, Some(last)) if id <= last => EventCheck::Repeated,
@@ -110,7 +113,7 @@
 
         (None, None, None) => EventCheck::Next(None),
 
-        (None, None, Some(_)) if is_comment => EventCheck::Next(None),
+        (None, None, Some(_)) if holds_no_event => EventCheck::Next(None),
 
         _ => EventCheck::Invalid,
     }
@@ -125,6 +128,13 @@
     }
 }
 
+fn is_retry_time(line: &[u8]) -> bool {
+    field_value(line, RETRY_FIELD).is_some_and(|value| {
+        let digits = value.trim_ascii();
+        !digits.is_empty() && digits.iter().all(u8::is_ascii_digit)
+    })
+}
+
 fn field_value<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     line.strip_prefix(name)?.strip_prefix(b":")
 }
--- a/crates/fescuelock-policy/tests/event_stream.rs
+++ b/crates/fescuelock-policy/tests/event_stream.rs
@@ -93,3 +93,14 @@
     let with_gaps = StreamPosition { is_resumed: true, ..with_gaps };
     assert_eq!(check_event(b"id: 7\ndata: 7\n\n", &with_gaps), EventCheck::Next(Some(7)));
 }
+
+/// A sound stream was cut at a block that holds no event: a reconnection time or only a blank line.
+#[test]
+fn blocks_without_event() {
+    for block in ["retry: 3000\n\n", "\n\n", ": comment\nretry: 3000\n\n"] {
+        assert_eq!(check_event(block.as_bytes(), &after(4)), EventCheck::Next(None), "{block:?}");
+    }
+    for block in ["retry: soon\n\n", "retry: 3000\ndata: overloaded\n\n", "content-length: 0\n\n"] {
+        assert_eq!(check_event(block.as_bytes(), &after(4)), EventCheck::Invalid, "{block:?}");
+    }
+}
