upstreams: Cut a stream at text that is not an event

Callers of the router's own front got the text of an engine's error, or the head of a response, in the middle of a stream with a success status: whatever did not begin with `data:` was passed on. An event of another answer was passed on too if its first line was another field.

An event now consists of comments and of the fields of server-sent events, and its data is found on any line, so that its id is checked. Other text makes the stream malformed, and it is continued elsewhere or aborted.

--- a/crates/fescuelock-upstreams/src/events.rs
+++ b/crates/fescuelock-upstreams/src/events.rs
@@ -16,6 +16,8 @@
 const EVENT_DELIMITER: &[u8] = b"\n\n";
 /// Name of the data field, at the start of an event.
 const DATA_PREFIX: &[u8] = b"data:";
+/// Starts of comments and of fields that the chat-completions API does not use.
+const UNUSED_PREFIXES: [&[u8]; 4] = [b":", b"event:", b"id:", b"retry:"];
 /// Data of the event that ends a stream.
 const DONE_MARKER: &[u8] = b"[DONE]";
 
@@ -137,8 +139,7 @@
     }
 
     fn read_event(&mut self, event: &[u8]) -> Result<EventKind> {
-        let Some(data) = event.strip_prefix(DATA_PREFIX) else {
-            // A comment, or a field that the chat-completions API does not use.
+        let Some(data) = event_data(event)? else {
             return Ok(EventKind::Content);
         };
         let data = data.trim_ascii();
@@ -188,6 +189,26 @@
     Done,
 }
 
+/// Returns the data of an event, or `None` if it consists of comments and of fields that the
+/// chat-completions API does not use.
+///
+/// Stricter than the standard, which ignores unknown lines: the text of an error and the head of a
+/// response consist of such lines.
+fn event_data(event: &[u8]) -> Result<Option<&[u8]>> {
+    let mut start = 0;
+    for line in event.split(|&byte| byte == b'\n') {
+        if line.starts_with(DATA_PREFIX) {
+            return Ok(Some(&event[start + DATA_PREFIX.len()..]));
+        }
+        let is_known = UNUSED_PREFIXES.iter().any(|prefix| line.starts_with(prefix));
+        if !line.is_empty() && !is_known {
+            return Err(Error::Malformed("text in place of an event".to_owned()));
+        }
+        start += line.len() + 1;
+    }
+    Ok(None)
+}
+
 /// Returns the text of an event, still JSON-escaped.
 fn delta_content(data: &[u8]) -> Option<&[u8]> {
     const FIELD: &[u8] = b"\"content\":\"";
