gateway: Send a request on when its second upstream is silent too

Callers waited until their deadline, and then got a cut stream or a 504, though another engine was free: if the first attempt ended while a second one was under way, only that second one was left, however long it was silent.

Once the first attempt has ended, the second one takes its place: if it is silent for as long as the first one may be, it gets another one beside it, within the attempts of the route and the retry budget. Whichever answers first is used, and the other is cancelled.

--- a/crates/fescuelock-gateway/src/hedge.rs
+++ b/crates/fescuelock-gateway/src/hedge.rs
@@ -10,12 +10,14 @@
 use std::time::Duration;
 
 use fescuelock_core::outcome::PendingRequest;
+use fescuelock_http::net::BoxFuture;
 use fescuelock_policy::crash_evidence::PromptVerdict;
 use fescuelock_policy::health::Outcome as HealthOutcome;
 use fescuelock_policy::retry_budget::RetryPurpose;
 use fescuelock_policy::silence::{HedgeCause, HedgeCheck, HedgeTimeouts};
 use slog::info;
 use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use crate::dispatch::{self, AttemptOptions, SendResult, UpstreamResponse};
 use crate::event_reader;
@@ -38,16 +40,27 @@
     pub placement: &'a Placement,
     /// Time of the last byte for this request, or of its send, in milliseconds.
     pub since_ms: u64,
-    /// Whether its response has begun. Then [`RequestState::sends`] includes the attempt, and the
-    /// response of a second upstream has to continue it.
+    /// Number of attempts under way, this one included, that [`RequestState::sends`] does not
+    /// include.
+    pub uncounted_sends: u32,
+    /// Whether the caller has a part of the response, so that the one of a second upstream has to
+    /// continue it.
     pub has_response: bool,
 }
 
+/// `SendContext` is what all sends of a request have in common.
+#[derive(Clone, Copy)]
+struct SendContext<'a> {
+    node_state: &'a Arc<NodeState>,
+    request: &'a RoutedRequest,
+    options: &'a AttemptOptions<'a>,
+}
+
 /// `HedgeProgress` tracks the second send of a request beside its first one.
 #[derive(Debug, Default)]
 pub struct HedgeProgress {
     is_in_flight: AtomicBool,
-    is_first_over: AtomicBool,
+    first_over: CancellationToken,
 }
 
 impl HedgeProgress {
@@ -57,9 +70,9 @@
     }
 
     /// Records that the first attempt has ended without a usable response. The second send that is
-    /// under way is the last one.
+    /// under way takes its place: if it is silent too, it gets another one beside it.
     pub fn end_first(&self) {
-        self.is_first_over.store(true, Ordering::Relaxed);
+        self.first_over.cancel();
     }
 }
 
@@ -96,20 +109,33 @@
     let first = FirstAttempt {
         placement: &first_placement,
         since_ms: node_state.now_ms(),
+        uncounted_sends: 1,
         has_response: false,
     };
+    let sending = dispatch::send(node_state, request, progress, placement, options);
+    let context = SendContext { node_state, request, options };
+    send_hedged(context, state, sending, std::future::ready(()), first, trace).await
+}
+
+/// Waits for an attempt that is under way, and from `start` on sends the request to a second
+/// upstream if the attempt is silent. Returns the result of the attempt that is used.
+async fn send_hedged(
+    context: SendContext<'_>,
+    state: &mut RequestState,
+    sending: impl Future<Output = SendResult>,
+    start: impl Future<Output = ()>,
+    first: FirstAttempt<'_>,
+    trace: &mut Trace,
+) -> Attempted {
+    let SendContext { node_state, request, options } = context;
     let hedge_progress = HedgeProgress::default();
     let (first_result, hedged) = {
-        let mut sending = pin!(dispatch::send(node_state, request, progress, placement, options));
-        let mut second = pin!(second_response(
-            node_state,
-            request,
-            state,
-            first,
-            options,
-            &hedge_progress,
-            trace
-        ));
+        let mut sending = pin!(sending);
+        let mut second = pin!(async {
+            start.await;
+            second_response(node_state, request, state, first, options, &hedge_progress, trace)
+                .await
+        });
         tokio::select! {
             biased;
             result = &mut sending => {
@@ -129,7 +155,7 @@
     match (hedged, first_result) {
         (Some(Hedged { response, cause }), first_result) => {
             if first_result.is_none() {
-                record_replaced(node_state, request, &first_placement, cause);
+                record_replaced(node_state, request, first.placement, cause);
             }
             Attempted {
                 key: response.placement.key,
@@ -139,8 +165,8 @@
         }
 
         (None, first_result) => Attempted {
-            key: first_placement.key,
-            upstream_id: first_placement.id,
+            key: first.placement.key,
+            upstream_id: first.placement.id.clone(),
             result: first_result.expect("a hedge without a response ends with the first attempt"),
         },
     }
@@ -180,8 +206,8 @@
             trace.add("silent", format!("{}: {cause:?}", first.placement.id));
         }
         if let Some(placement) = place_second(node_state, request, state, first, options) {
-            let second =
-                send_second(node_state, request, state, placement, options, progress, trace).await;
+            let context = SendContext { node_state, request, options };
+            let second = send_second(context, state, placement, first, progress, trace).await;
             match second {
                 Some(response)
                     if !first.has_response || event_reader::may_continue(request, &response) =>
@@ -199,7 +225,7 @@
 
                 None => count(node_state, "failed"),
             }
-            if progress.is_first_over.load(Ordering::Relaxed) {
+            if progress.first_over.is_cancelled() {
                 return None;
             }
         }
@@ -232,12 +258,11 @@
     options: &AttemptOptions<'_>,
 ) -> Option<Placement> {
     serve::repeat_permission(request)?;
-    let uncounted_sends = u32::from(!first.has_response);
     // A request that may crash its engine is given to one engine at a time.
     let prompt = &request.parsed_headers.prompt;
     let verdict = node_state.fleet().prompt_verdict(prompt, node_state.now_ms());
     if state.is_trial
-        || !serve::may_retry(request, state, uncounted_sends)
+        || !serve::may_retry(request, state, first.uncounted_sends)
         || (options.model.is_some() && verdict != PromptVerdict::Allowed)
     {
         return None;
@@ -259,23 +284,47 @@
     node_state.fleet().place(&placement_request, now_ms).ok()
 }
 
-async fn send_second(
-    node_state: &Arc<NodeState>,
+/// Sends a request to a second upstream. Once the first attempt has ended, the second one may get
+/// another one beside it in turn, so that the future contains others of its type.
+fn send_second<'a>(
+    context: SendContext<'a>,
+    state: &'a mut RequestState,
+    placement: Placement,
+    first: FirstAttempt<'a>,
+    progress: &'a HedgeProgress,
+    trace: &'a mut Trace,
+) -> BoxFuture<'a, Option<Box<UpstreamResponse>>> {
+    Box::pin(async move {
+        let SendContext { node_state, request, options } = context;
+        let pending = PendingRequest::hedge(serve::repeat_permission(request)?);
+        let expected_ms = placement.expected_ms;
+        trace.add("second send", format!("to {}, expected {expected_ms:.0} ms", placement.id));
+        state.tried.push(placement.key);
+        state.has_hedged = true;
+        progress.is_in_flight.store(true, Ordering::Relaxed);
+        let second = FirstAttempt {
+            placement: &placement,
+            since_ms: node_state.now_ms(),
+            uncounted_sends: first.uncounted_sends + 1,
+            has_response: first.has_response,
+        };
+        let sending = dispatch::send(node_state, request, pending, placement.clone(), options);
+        let start = progress.first_over.cancelled();
+        let attempted = send_hedged(context, state, sending, start, second, trace).await;
+        progress.is_in_flight.store(false, Ordering::Relaxed);
+        record_second(node_state, request, state, attempted, trace).await
+    })
+}
+
+/// Records the result of a second send. Returns its response if it can be used.
+async fn record_second(
+    node_state: &NodeState,
     request: &RoutedRequest,
     state: &mut RequestState,
-    placement: Placement,
-    options: &AttemptOptions<'_>,
-    progress: &HedgeProgress,
+    attempted: Attempted,
     trace: &mut Trace,
 ) -> Option<Box<UpstreamResponse>> {
-    let (key, upstream_id) = (placement.key, placement.id.clone());
-    trace.add("second send", format!("to {upstream_id}, expected {:.0} ms", placement.expected_ms));
-    state.tried.push(key);
-    state.has_hedged = true;
-    progress.is_in_flight.store(true, Ordering::Relaxed);
-    let pending = PendingRequest::hedge(serve::repeat_permission(request)?);
-    let result = dispatch::send(node_state, request, pending, placement, options).await;
-    progress.is_in_flight.store(false, Ordering::Relaxed);
+    let Attempted { key, upstream_id, result } = attempted;
     let is_used = is_usable(&result);
     match result {
         SendResult::Received(response) if is_used => {
--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -282,6 +282,7 @@
             let first = FirstAttempt {
                 placement: &placement,
                 since_ms: self.node_state.now_ms(),
+                uncounted_sends: 0,
                 has_response: true,
             };
             let frame = match self.next_step(&mut body, first, is_begun).await {
