policy: Count as silence only the time for which requests wait

An engine that had been silent for 2.5 s, less than the 3 s of a failure, was counted as failed and at times left out. The silence began with the engine's last byte, also if the engine had been idle since, and went on after all its streams had been replaced, when nothing was left that could have ended it. It now begins with the request that waits, and only the time for which a request waits adds up to a failure.

--- a/crates/fescuelock-gateway/src/fleet.rs
+++ b/crates/fescuelock-gateway/src/fleet.rs
@@ -298,8 +298,9 @@
     /// their ids and services.
     pub fn take_silent_losses(&mut self, now_ms: u64) -> Vec<(UpstreamKey, String, String)> {
         let lost = self.upstreams.iter_mut().filter_map(|(&key, upstream)| {
+            let has_request = upstream.own_load(now_ms).in_flight > 0;
+            let is_lost = upstream.silence.take_loss(has_request, now_ms);
             let record = &upstream.record;
-            let is_lost = upstream.silence.take_loss(now_ms);
             is_lost.then(|| (key, record.id.clone(), record.pool.clone()))
         });
         lost.collect()
--- a/crates/fescuelock-gateway/src/hedge.rs
+++ b/crates/fescuelock-gateway/src/hedge.rs
@@ -174,7 +174,7 @@
     loop {
         let cause = wait_until_due(node_state, first, &options.hedge_timeouts).await;
         if cause == HedgeCause::UpstreamSilent {
-            begin_silence(node_state, first.placement);
+            begin_silence(node_state, first);
         }
         if !std::mem::replace(&mut is_traced, true) {
             trace.add("silent", format!("{}: {cause:?}", first.placement.id));
@@ -342,11 +342,13 @@
     }
 }
 
-fn begin_silence(node_state: &NodeState, placement: &Placement) {
+fn begin_silence(node_state: &NodeState, first: FirstAttempt<'_>) {
+    let FirstAttempt { placement, since_ms, .. } = first;
     let now_ms = node_state.now_ms();
     let silent_ms = node_state.fleet().upstream_mut(placement.key).and_then(|upstream| {
         let last_byte_ms = upstream.last_byte_ms;
-        upstream.silence.begin(last_byte_ms, now_ms).then(|| now_ms.saturating_sub(last_byte_ms))
+        let is_new = upstream.silence.begin(since_ms, last_byte_ms, now_ms);
+        is_new.then(|| now_ms.saturating_sub(since_ms.max(last_byte_ms)))
     });
     if let Some(silent_ms) = silent_ms {
         node_state.metrics.count(LabelledCounter::Silences, &[("state", "begun")]);
--- a/crates/fescuelock-policy/src/silence.rs
+++ b/crates/fescuelock-policy/src/silence.rs
@@ -6,8 +6,8 @@
 //! gets no new requests ([`Silence::accepts`]), and when its silence counts as a failure
 //! ([`Silence::take_loss`]).
 
-/// Duration of a silence from which it counts as a failure of the upstream, in milliseconds. It is
-/// longer than keep-alive probes need to detect that a peer has gone.
+/// Time for which requests have waited in a silence from which it counts as a failure of the upstream,
+/// in milliseconds. It is longer than keep-alive probes need to detect that a peer has gone.
 const LOSS_MS: u64 = 3_000;
 
 /// Interval at which a silent upstream gets one new request, in milliseconds. A request that is
@@ -73,19 +73,31 @@
 /// `Silence` is the state of an upstream that may be silent.
 #[derive(Debug, Clone, Default)]
 pub struct Silence {
-    /// Time of the last byte before the silence, in milliseconds.
+    /// Start of the silence, in milliseconds.
     since_ms: Option<u64>,
     last_send_ms: u64,
+    /// Time for which requests have waited in the silence, in milliseconds.
+    waited_ms: u64,
+    /// Time until which `waited_ms` is counted, in milliseconds.
+    counted_until_ms: u64,
     is_loss: bool,
 }
 
 impl Silence {
-    /// Records that a request has got nothing from the upstream for its silence timeout, and no
-    /// other request either since `last_byte_ms`. Returns whether this begins a silence.
-    pub fn begin(&mut self, last_byte_ms: u64, now_ms: u64) -> bool {
+    /// Records that a request has got nothing from the upstream since `since_ms`, its silence timeout
+    /// ago, and no other request either since `last_byte_ms`. The time before the request is not part
+    /// of the silence: the upstream may have been idle. Returns whether this begins a silence.
+    pub fn begin(&mut self, since_ms: u64, last_byte_ms: u64, now_ms: u64) -> bool {
         let is_new = self.since_ms.is_none();
         if is_new {
-            *self = Silence { since_ms: Some(last_byte_ms), last_send_ms: now_ms, is_loss: false };
+            let since_ms = since_ms.max(last_byte_ms);
+            *self = Silence {
+                since_ms: Some(since_ms),
+                last_send_ms: now_ms,
+                waited_ms: now_ms.saturating_sub(since_ms),
+                counted_until_ms: now_ms,
+                is_loss: false,
+            };
         }
         is_new
     }
@@ -112,10 +124,15 @@
         self.last_send_ms = now_ms;
     }
 
-    /// Returns whether the silence has just become so long that it counts as a failure.
-    pub fn take_loss(&mut self, now_ms: u64) -> bool {
-        let is_long =
-            self.since_ms.is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= LOSS_MS);
+    /// Returns whether the silence has just become so long that it counts as a failure. To be called
+    /// regularly with whether a request waits at the upstream: without one, the upstream has nothing
+    /// to send.
+    pub fn take_loss(&mut self, has_request: bool, now_ms: u64) -> bool {
+        if has_request {
+            self.waited_ms += now_ms.saturating_sub(self.counted_until_ms);
+        }
+        self.counted_until_ms = now_ms;
+        let is_long = self.is_silent() && self.waited_ms >= LOSS_MS;
         let is_new = is_long && !self.is_loss;
         self.is_loss |= is_long;
         is_new
--- a/crates/fescuelock-policy/tests/silence.rs
+++ b/crates/fescuelock-policy/tests/silence.rs
@@ -36,18 +36,40 @@
 #[test]
 fn short_silence_forgotten() {
     let mut silence = Silence::default();
-    assert!(silence.begin(1_000, 2_800) && !silence.begin(1_000, 2_900));
-    assert!(!silence.accepts(2_900) && !silence.take_loss(2_900));
+    assert!(silence.begin(1_000, 1_000, 2_800) && !silence.begin(1_000, 1_000, 2_900));
+    assert!(!silence.accepts(2_900) && !silence.take_loss(true, 2_900));
     assert_eq!(silence.end(3_000), Some(2_000));
-    assert!(silence.accepts(3_000) && !silence.take_loss(20_000));
+    assert!(silence.accepts(3_000) && !silence.take_loss(true, 20_000));
+}
+
+/// The time for which an upstream had been idle counted as its silence, which became a failure.
+#[test]
+fn idle_time_not_silence() {
+    let mut silence = Silence::default();
+    assert!(silence.begin(10_000, 1_000, 11_800));
+    assert!(!silence.take_loss(true, 12_500) && silence.take_loss(true, 13_000));
+    assert_eq!(silence.end(13_500), Some(3_500));
+}
+
+/// A silence became a failure while no request was left at the upstream to end it.
+#[test]
+fn silence_without_requests() {
+    let mut silence = Silence::default();
+    silence.begin(0, 0, 1_800);
+    assert!(!silence.take_loss(false, 60_000) && !silence.take_loss(true, 61_000));
+    assert!(silence.take_loss(true, 61_200));
 }
 
 /// An upstream that never goes on kept getting requests.
 #[test]
 fn long_silence_is_loss() {
     let mut silence = Silence::default();
-    silence.begin(0, 1_800);
-    assert!(!silence.take_loss(2_999) && silence.take_loss(3_000) && !silence.take_loss(3_100));
+    silence.begin(0, 0, 1_800);
+    assert!(
+        !silence.take_loss(true, 2_999)
+            && silence.take_loss(true, 3_000)
+            && !silence.take_loss(true, 3_100)
+    );
     let mut probes = 0;
     for now_ms in (1_800..11_800).step_by(10) {
         if silence.accepts(now_ms) {
@@ -137,7 +159,7 @@
             }
 
             true => {
-                silences[node][engine].begin(0, now_ms);
+                silences[node][engine].begin(0, 0, now_ms);
                 let has_target =
                     (0..ENGINES).any(|other| other >= silent && !silences[node][other].is_silent());
                 let granted = has_target
@@ -153,7 +175,7 @@
         }
     }
     for silence in silences.iter_mut().flatten() {
-        let is_lost = silence.take_loss(silence_ms);
+        let is_lost = silence.take_loss(true, silence_ms);
         figures.engines_left_out += usize::from(is_lost);
     }
     figures
