gateway: Send nothing to an upstream within its Retry-After

Callers saw requests turned away by an upstream that had just stated how long it wanted none: nothing read the Retry-After of upstreams. Each such request cost a retry from the budget, and when all upstreams of a service had turned requests away, callers were told to come back at once.

A 503 with it begins a pause of the upstream for this node: placement leaves it out for first sends, retries, resumed streams, escalations and second sends, and the check after a connection was opened covers requests that waited for it. The pause outlives a record that goes from the store and returns with the same incarnation. If all upstreams of a request pause, it is refused at once, as not run and without a retry, with a Retry-After that follows from the first end; a pause that ends within the time for which requests are queued is waited for, and the rest of a begun stream waits up to its deadline. Such an answer does not count as a failure in the upstream's health, so it leads to no ejection.

--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -28,6 +28,7 @@
 use crate::limits;
 use crate::metrics::LabelledCounter;
 use crate::node_state::NodeState;
+use crate::pauses;
 use crate::placement::Placement;
 use crate::upstream::UpstreamKey;
 
@@ -182,7 +183,8 @@
     };
     let pool = &request.pool().name;
     let upstream_request = match build_request(request, &placement, options) {
-        // The upstream may have been removed while the connection was opened.
+        // The upstream may have been removed, or its pause have begun, while the connection was
+        // opened.
         Ok(upstream_request)
             if node_state.fleet().can_send_to(placement.key, pool, node_state.now_ms())
                 && !is_prompt_rejected(node_state, request, options) =>
@@ -369,6 +371,7 @@
     }
     hedge::record_byte(node_state, placement);
     record_stated_limit(node_state, upstream_response);
+    let asks_for_pause = pauses::record_response(node_state, upstream_response);
     let now_ms = node_state.now_ms();
     let is_failure = upstream_response.status.is_server_error()
         && !upstream_response.parsed_headers.upstream_did_not_run;
@@ -389,7 +392,8 @@
         }
     }
     drop(fleet);
-    let outcome = match is_failure {
+    // An upstream that asks for a pause is in good health; the pause keeps requests away.
+    let outcome = match is_failure && !asks_for_pause {
         true => HealthOutcome::Failed,
         false => HealthOutcome::Succeeded,
     };
--- a/crates/fescuelock-gateway/src/fleet.rs
+++ b/crates/fescuelock-gateway/src/fleet.rs
@@ -15,6 +15,7 @@
 use fescuelock_policy::stated_limit::{LimitChange, LimitReport};
 use fescuelock_policy::upstream::{UpstreamRecord, UpstreamState};
 
+use crate::pauses::RemovedUpstreams;
 use crate::rollouts::{PendingStateWrite, Rollouts};
 use crate::upstream::{Load, Upstream, UpstreamKey};
 
@@ -58,7 +59,9 @@
     pub(crate) node_hash: u64,
     pub(crate) bounds: Bounds,
     pub(crate) upstreams: BTreeMap<UpstreamKey, Upstream>,
-    by_id: HashMap<String, UpstreamKey>,
+    pub(crate) by_id: HashMap<String, UpstreamKey>,
+    /// Upstreams whose records are gone.
+    pub(crate) removed: RemovedUpstreams,
     next_key: u64,
     pub(crate) evacuated: HashSet<String>,
     peer_reports: HashMap<String, PeerReport>,
@@ -90,6 +93,7 @@
             bounds: settings.bounds.clone(),
             upstreams: BTreeMap::new(),
             by_id: HashMap::new(),
+            removed: RemovedUpstreams::default(),
             next_key: 0,
             evacuated: HashSet::new(),
             peer_reports: HashMap::new(),
@@ -136,6 +140,7 @@
             _ => {
                 let id = record.id.clone();
                 let mut upstream = Upstream::new(record, &self.network, now_ms);
+                upstream.pause = self.removed.pause_of(&upstream.record).unwrap_or_default();
                 if !is_first_list {
                     upstream.cold_until_ms = upstream.cold_until_ms.max(now_ms + warmup_ms);
                 }
@@ -160,7 +165,9 @@
         };
         if remove_at_ms <= now_ms {
             self.by_id.remove(id);
-            self.upstreams.remove(&key);
+            if let Some(upstream) = self.upstreams.remove(&key) {
+                self.removed.insert(key, upstream, now_ms);
+            }
         } else if let Some(upstream) = self.upstreams.get_mut(&key) {
             let previous_ms = upstream.remove_at_ms.unwrap_or(remove_at_ms);
             upstream.remove_at_ms = Some(previous_ms.min(remove_at_ms));
@@ -352,13 +359,14 @@
     }
 
     /// Returns the mean queueing time at a service's engines, in milliseconds, without engines that
-    /// are ejected or in evacuated zones.
+    /// are ejected, pause or are in evacuated zones.
     pub fn mean_queue_ms(&self, pool: &str, now_ms: u64) -> f64 {
         let queues = self
             .ready_upstreams(pool, now_ms)
             .filter(|(_, upstream)| {
                 !self.evacuated.contains(&upstream.record.zone)
                     && !upstream.health.is_ejected(now_ms)
+                    && !upstream.pause.is_paused(now_ms)
             })
             .map(|(_, upstream)| upstream.queue_ms(now_ms) * upstream.first_event_ratio.max(1.0));
         let (sum, count) = queues.fold((0.0, 0), |(sum, count), queue| (sum + queue, count + 1));
@@ -404,6 +412,7 @@
     pub fn can_send_to(&self, key: UpstreamKey, pool: &str, now_ms: u64) -> bool {
         self.upstreams.get(&key).is_some_and(|upstream| {
             upstream.is_ready(now_ms)
+                && !upstream.pause.is_paused(now_ms)
                 && upstream.record.pool == pool
                 && !self.evacuated.contains(&upstream.record.zone)
                 && !self.rollouts.is_rejected(pool, &upstream.record.version)
@@ -451,7 +460,7 @@
 
 /// Returns whether two records describe the same incarnation of an upstream, without a restart
 /// between them.
-fn is_same_incarnation(old: &UpstreamRecord, new: &UpstreamRecord) -> bool {
+pub(crate) fn is_same_incarnation(old: &UpstreamRecord, new: &UpstreamRecord) -> bool {
     let same_start = match (old.started_at_ms, new.started_at_ms) {
         (Some(old), Some(new)) => old == new,
         _ => true,
--- a/crates/fescuelock-gateway/src/lib.rs
+++ b/crates/fescuelock-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod node;
 pub mod node_state;
+pub mod pauses;
 pub mod peers;
 pub mod placement;
 pub mod queue;
--- a/crates/fescuelock-gateway/src/placement.rs
+++ b/crates/fescuelock-gateway/src/placement.rs
@@ -11,6 +11,7 @@
 use fescuelock_policy::stated_limit;
 
 use crate::fleet::Fleet;
+use crate::pauses;
 use crate::rollouts::VersionChoice;
 use crate::upstream::{Upstream, UpstreamKey};
 
@@ -85,6 +86,8 @@
     pub is_cold: bool,
     /// Number of upstreams that could have taken the request.
     pub candidates: usize,
+    /// Number of upstreams that could not take the request because they pause.
+    pub paused: usize,
     /// Age of the oldest peer report that the load is based on, in milliseconds.
     pub loads_age_ms: u64,
 }
@@ -98,6 +101,9 @@
     /// cold. Holds the estimated time until one has capacity, in milliseconds. The estimate is
     /// based on occupancy alone.
     AtCapacity(f64),
+    /// All eligible upstreams pause. Holds the time until the first of them takes requests again, in
+    /// milliseconds.
+    Paused(f64),
     /// A segment of the prompt crashes engines.
     PromptRejected {
         /// The rejected segment.
@@ -136,19 +142,19 @@
 
             PromptVerdict::Allowed => None,
         };
-        let eligible: Vec<(UpstreamKey, &Upstream)> = self
-            .ready_upstreams(&request.pool.name, now_ms)
-            .filter(|(key, upstream)| {
-                !request.tried.contains(key)
-                    && !self.evacuated.contains(&upstream.record.zone)
-                    && self.is_allowed_region(request.allowed_regions, &upstream.record.zone)
-            })
-            .collect();
+        let eligible = self.eligible(request, now_ms);
         let version_choice = self.rollouts.choose(&request.pool.name, request.session);
         let matching_version = self.matching_version(request, &eligible, &version_choice, now_ms);
         if matching_version.is_empty() {
             return Err(PlacementError::NoCandidate);
         }
+        if let Some(paused_ms) = pauses::first_return_ms(matching_version.iter().copied(), now_ms) {
+            return Err(PlacementError::Paused(paused_ms));
+        }
+        // Upstreams that pause take no part in the comparison of the others.
+        let (matching_version, paused): (Vec<_>, Vec<_>) = matching_version
+            .into_iter()
+            .partition(|(_, upstream)| !upstream.pause.is_paused(now_ms));
         let ejected =
             matching_version.iter().filter(|(_, upstream)| upstream.health.is_ejected(now_ms));
         let ignore_ejections =
@@ -186,7 +192,7 @@
         };
         let Some(chosen) = chosen else {
             return Err(PlacementError::AtCapacity(
-                self.time_to_capacity_ms(&matching_version, now_ms),
+                self.time_to_capacity_ms(matching_version.iter().chain(&paused), now_ms),
             ));
         };
         let candidate = candidates[chosen];
@@ -194,7 +200,7 @@
         let key = keys[chosen];
         let cold_rate = self.cold_start_rate(request.pool, &self.upstreams[&key]);
         let limit_rate_per_s = self.stated_limit_rate_per_s(&self.upstreams[&key]);
-        let count = candidates.len();
+        let (count, paused_count) = (candidates.len(), paused.len());
         let upstream = self.upstreams.get_mut(&key).expect("candidates are known upstreams");
         let is_cold = now_ms < upstream.cold_until_ms && request.pool.warmup_per_s > 0.0;
         if is_cold && !request.is_estimate {
@@ -203,6 +209,7 @@
         if !request.is_estimate {
             upstream.silence.record_send(now_ms);
             upstream.stated_limit.take_token(limit_rate_per_s, now_ms);
+            upstream.pause.record_send(now_ms);
         }
         let uncached_tokens = match request.model {
             Some(model) => upstream.uncached_tokens(model, request.prompt, now_ms),
@@ -219,10 +226,26 @@
             uncached_tokens,
             is_cold,
             candidates: count,
+            paused: paused_count,
             loads_age_ms,
         })
     }
 
+    /// Returns the upstreams that may take a request, of any version and with or without capacity.
+    pub(crate) fn eligible<'a>(
+        &'a self,
+        request: &PlacementRequest<'a>,
+        now_ms: u64,
+    ) -> Vec<(UpstreamKey, &'a Upstream)> {
+        let ready = self.ready_upstreams(&request.pool.name, now_ms);
+        let eligible = ready.filter(|(key, upstream)| {
+            !request.tried.contains(key)
+                && !self.evacuated.contains(&upstream.record.zone)
+                && self.is_allowed_region(request.allowed_regions, &upstream.record.zone)
+        });
+        eligible.collect()
+    }
+
     /// Returns whether a zone lies in one of the allowed regions.
     fn is_allowed_region(&self, allowed_regions: &[String], zone: &str) -> bool {
         allowed_regions.is_empty()
@@ -294,6 +317,7 @@
         occupancy < occupancy_max
             && (!is_cold || has_token())
             && self.stated_limit_wait_ms(upstream, now_ms) <= 0.0
+            && upstream.pause.wait_ms(now_ms) == 0
     }
 
     /// Returns this node's share of the rate limit that an upstream states, in requests per second.
@@ -381,12 +405,20 @@
     }
 
     /// Estimates the time until one of the upstreams has capacity, in milliseconds, from latency,
-    /// occupancy and stated limits. Rate limits of cold upstreams are not considered.
-    fn time_to_capacity_ms(&self, upstreams: &[(UpstreamKey, &Upstream)], now_ms: u64) -> f64 {
-        let times = upstreams.iter().map(|(_, upstream)| {
+    /// occupancy, stated limits and pauses. Rate limits of cold upstreams are not considered.
+    fn time_to_capacity_ms<'a>(
+        &self,
+        upstreams: impl Iterator<Item = &'a (UpstreamKey, &'a Upstream)>,
+        now_ms: u64,
+    ) -> f64 {
+        let times = upstreams.map(|(_, upstream)| {
             let load_ratio = f64::from(upstream.in_flight()) / f64::from(upstream.record.slots);
             let free_in_ms = upstream.latency_ms * load_ratio.max(1.0);
-            free_in_ms.max(self.stated_limit_wait_ms(upstream, now_ms))
+            let paused_ms = match upstream.pause.is_paused(now_ms) {
+                true => upstream.pause.wait_ms(now_ms) as f64,
+                false => 0.0,
+            };
+            free_in_ms.max(paused_ms).max(self.stated_limit_wait_ms(upstream, now_ms))
         });
         times.fold(f64::INFINITY, f64::min)
     }
--- a/crates/fescuelock-gateway/src/queue.rs
+++ b/crates/fescuelock-gateway/src/queue.rs
@@ -42,11 +42,13 @@
     };
     loop {
         if ms_until(request.deadline) == 0 {
-            return Err(state.fail(Refusal::Overloaded, Some(retry_after_ms(node_state, request))));
+            let paused_ms = paused_ms(node_state, request, model, state);
+            let retry_after_ms = retry_after_ms(node_state, request, paused_ms);
+            return Err(state.fail(Refusal::Overloaded, Some(retry_after_ms)));
         }
         let placement_request = build_placement_request(request, model, &allowed_regions, state);
         let placement = node_state.fleet().place(&placement_request, node_state.now_ms());
-        let placement_error = match placement {
+        let mut placement_error = match placement {
             Ok(placement) => {
                 record_wait(waited_ms);
                 return Ok(placement);
@@ -70,15 +72,25 @@
             state.tried.clear();
             let placement_request =
                 self::build_placement_request(request, model, &allowed_regions, state);
-            if let Ok(placement) = node_state.fleet().place(&placement_request, node_state.now_ms())
-            {
-                return Ok(placement);
+            match node_state.fleet().place(&placement_request, node_state.now_ms()) {
+                Ok(placement) => return Ok(placement),
+                Err(PlacementError::Paused(paused_ms)) => {
+                    placement_error = PlacementError::Paused(paused_ms);
+                }
+                Err(_) => {}
             }
         }
         let context = AdmissionContext {
             time_to_capacity_ms: match placement_error {
                 PlacementError::NoCandidate | PlacementError::PromptRejected { .. } => None,
-                PlacementError::AtCapacity(time_to_capacity_ms) => Some(time_to_capacity_ms),
+                PlacementError::AtCapacity(time_to_capacity_ms)
+                | PlacementError::Paused(time_to_capacity_ms) => Some(time_to_capacity_ms),
+            },
+            paused_ms: match placement_error {
+                PlacementError::Paused(paused_ms) => Some(paused_ms),
+                // Upstreams that were tried may all pause.
+                PlacementError::NoCandidate => paused_ms(node_state, request, model, state),
+                PlacementError::AtCapacity(_) | PlacementError::PromptRejected { .. } => None,
             },
             waited_ms,
             target_ms: request.route().target_ms as f64,
@@ -99,8 +111,12 @@
                 record_wait(waited_ms);
                 trace.add("refused", format!("{placement_error:?}, {context:?}"));
                 let refusal = match placement_error {
-                    PlacementError::NoCandidate => Refusal::NoUpstream(request.pool().name.clone()),
-                    PlacementError::AtCapacity(_) => Refusal::Overloaded,
+                    PlacementError::NoCandidate if context.paused_ms.is_none() => {
+                        Refusal::NoUpstream(request.pool().name.clone())
+                    }
+                    PlacementError::NoCandidate
+                    | PlacementError::AtCapacity(_)
+                    | PlacementError::Paused(_) => Refusal::Overloaded,
                     PlacementError::PromptRejected { .. } => Refusal::PromptRejected,
                 };
                 return Err(state.fail(refusal, Some(retry_after_ms)));
@@ -169,10 +185,42 @@
     }
 }
 
-/// Returns the time after which a refused caller should retry, in milliseconds.
-pub fn retry_after_ms(node_state: &NodeState, request: &RoutedRequest) -> f64 {
+/// Returns the time until the first upstream of a request takes requests again, in milliseconds, if
+/// all of them pause.
+pub fn paused_ms(
+    node_state: &NodeState,
+    request: &RoutedRequest,
+    model: Option<&str>,
+    state: &RequestState,
+) -> Option<f64> {
+    let allowed_regions = request.allowed_regions();
+    let placement_request = build_placement_request(request, model, &allowed_regions, state);
+    let now_ms = node_state.now_ms();
+    node_state.fleet().paused_ms(&placement_request, now_ms)
+}
+
+/// Returns the longest time for which a request may wait for an upstream, in milliseconds.
+pub fn longest_wait_ms(request: &RoutedRequest, state: &RequestState) -> f64 {
+    let deadline_left_ms = ms_until(request.deadline) as f64;
+    match state.has_begun {
+        true => deadline_left_ms,
+        false => {
+            let share = AdmissionOptions::default().wait_max_target_share;
+            deadline_left_ms.min(share * request.route().target_ms as f64)
+        }
+    }
+}
+
+/// Returns the time after which a refused caller should retry, in milliseconds. `paused_ms` is the
+/// time until the first upstream takes requests again, if all of them pause.
+pub fn retry_after_ms(
+    node_state: &NodeState,
+    request: &RoutedRequest,
+    paused_ms: Option<f64>,
+) -> f64 {
     let context = AdmissionContext {
         time_to_capacity_ms: None,
+        paused_ms,
         waited_ms: 0.0,
         target_ms: request.route().target_ms as f64,
         deadline_left_ms: ms_until(request.deadline) as f64,
--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -126,10 +126,11 @@
     node_state: &Arc<NodeState>,
     request: RoutedRequest,
     upstream_response: UpstreamResponse,
-    state: RequestState,
+    mut state: RequestState,
     model: String,
     trace: Trace,
 ) -> Response<Body> {
+    state.has_begun = true;
     let (sender, body) = Body::streamed();
     let mut response = Response::new(body);
     *response.status_mut() = upstream_response.status;
@@ -456,7 +457,21 @@
                     return None;
                 }
 
-                Err(PlacementError::NoCandidate | PlacementError::AtCapacity(_)) => {}
+                // No other upstream is left to try, and none takes the request in time.
+                Err(PlacementError::Paused(paused_ms))
+                    if self.state.tried.is_empty()
+                        && paused_ms >= ms_until(self.request.deadline) as f64 =>
+                {
+                    let reason = format!("all upstreams pause, the first for {paused_ms:.0} ms");
+                    self.trace.add("not resumed", reason);
+                    return None;
+                }
+
+                Err(
+                    PlacementError::NoCandidate
+                    | PlacementError::AtCapacity(_)
+                    | PlacementError::Paused(_),
+                ) => {}
             }
             // An engine that was tried before may be the only one left.
             self.state.tried.clear();
--- a/crates/fescuelock-gateway/src/serve.rs
+++ b/crates/fescuelock-gateway/src/serve.rs
@@ -32,7 +32,7 @@
 use crate::metrics::{LabelledCounter, LatencyHistogram};
 use crate::node_state::NodeState;
 use crate::placement::Placement;
-use crate::queue::{place_or_wait, retry_after_ms};
+use crate::queue::{longest_wait_ms, paused_ms, place_or_wait, retry_after_ms};
 use crate::relay;
 use crate::trace::Trace;
 use crate::upstream::UpstreamKey;
@@ -86,6 +86,8 @@
     /// Whether the next or current send is the trial of a rejected prompt segment. A trial is not
     /// repeated.
     pub is_trial: bool,
+    /// Whether a stream has begun, the rest of which waits for an upstream until the deadline.
+    pub has_begun: bool,
     /// Last error response of an upstream, forwarded if no retry gets a response.
     last_error_response: Option<BufferedResponse>,
 }
@@ -117,6 +119,7 @@
             crashes: 0,
             has_hedged: false,
             is_trial: false,
+            has_begun: false,
             last_error_response: None,
         }
     }
@@ -341,7 +344,7 @@
         "sent",
         format!(
             "to {} version {} model {}, expected {:.0} ms, queue {:.0} ms, {} uncached tokens, \
-             {} candidate upstreams, load reports up to {} ms old, shared segments {}",
+             {} candidate upstreams, {} paused, load reports up to {} ms old, shared segments {}",
             placement.id,
             placement.version,
             options.model.unwrap_or("-"),
@@ -349,6 +352,7 @@
             placement.queue_ms,
             placement.uncached_tokens,
             placement.candidates,
+            placement.paused,
             placement.loads_age_ms,
             request.parsed_headers.prompt.shared_segments_text(),
         ),
@@ -368,11 +372,20 @@
             state.rejections += 1;
             trace.add("turned away", format!("by {upstream_id} with {}", upstream_response.status));
             state.progress = Some(upstream_response.attempt.rejected(UpstreamRejection, earlier));
-            match state.rejections < REJECTIONS_MAX && take_retry_from_budget(node_state, request) {
+            // A retry would be in vain and take from the budget if all upstreams pause for longer
+            // than the request can wait.
+            let paused_ms = paused_ms(node_state, request, options.model, state);
+            if let Some(paused_ms) = paused_ms {
+                trace.add("paused", format!("all upstreams, the first for {paused_ms:.0} ms"));
+            }
+            let is_in_vain = paused_ms.is_some_and(|ms| ms > longest_wait_ms(request, state));
+            let may_retry = state.rejections < REJECTIONS_MAX && !is_in_vain;
+            match may_retry && take_retry_from_budget(node_state, request) {
                 true => AttemptResult::Retry,
-                false => AttemptResult::Failed(
-                    state.fail(Refusal::Overloaded, Some(retry_after_ms(node_state, request))),
-                ),
+                false => {
+                    let retry_after_ms = retry_after_ms(node_state, request, paused_ms);
+                    AttemptResult::Failed(state.fail(Refusal::Overloaded, Some(retry_after_ms)))
+                }
             }
         }
 
@@ -382,7 +395,9 @@
         }
 
         SendResult::NotSent(progress) => {
-            trace.add("not sent", format!("to {upstream_id}"));
+            let is_paused = is_paused(node_state, key);
+            let reason = if is_paused { ", which pauses" } else { "" };
+            trace.add("not sent", format!("to {upstream_id}{reason}"));
             state.progress = Some(match (earlier, repeat_permission(request)) {
                 (Some(_), Some(repeatable)) => PendingRequest::hedge(repeatable),
                 _ => progress,
@@ -392,9 +407,9 @@
                 true => AttemptResult::Retry,
                 false => {
                     let refusal = Refusal::Unreachable(request.pool().name.clone());
-                    AttemptResult::Failed(
-                        state.fail(refusal, Some(retry_after_ms(node_state, request))),
-                    )
+                    let paused_ms = paused_ms(node_state, request, options.model, state);
+                    let retry_after_ms = retry_after_ms(node_state, request, paused_ms);
+                    AttemptResult::Failed(state.fail(refusal, Some(retry_after_ms)))
                 }
             }
         }
@@ -430,6 +445,12 @@
         && ms_until(request.deadline) > 0
 }
 
+/// Returns whether an upstream pauses.
+fn is_paused(node_state: &NodeState, key: UpstreamKey) -> bool {
+    let now_ms = node_state.now_ms();
+    node_state.fleet().upstream(key).is_some_and(|upstream| upstream.pause.is_paused(now_ms))
+}
+
 /// Takes a retry after a failure from the service's retry budget. Returns whether it had one left.
 pub fn take_retry_from_budget(node_state: &NodeState, request: &RoutedRequest) -> bool {
     let granted = node_state.take_retry(&request.pool().name, RetryPurpose::Recovery);
--- a/crates/fescuelock-gateway/src/upstream.rs
+++ b/crates/fescuelock-gateway/src/upstream.rs
@@ -7,6 +7,7 @@
 use fescuelock_http::pool::{Pool, PoolOptions};
 use fescuelock_policy::cold_start::ColdStartBucket;
 use fescuelock_policy::health::Health;
+use fescuelock_policy::pause::Pause;
 use fescuelock_policy::placement::hash_name;
 use fescuelock_policy::prompt::Prompt;
 use fescuelock_policy::silence::Silence;
@@ -93,6 +94,8 @@
     pub silence: Silence,
     /// Rate limit that the upstream states, and this node's share of it.
     pub stated_limit: StatedLimit,
+    /// Time for which the upstream wants nothing from this node.
+    pub pause: Pause,
     /// Moving average of the latency of plain answers, in milliseconds.
     pub latency_ms: f64,
     /// Moving average of the ratio of measured to expected time to the first event; above 1 if the
@@ -134,6 +137,7 @@
             last_byte_ms: now_ms,
             silence: Silence::default(),
             stated_limit: StatedLimit::default(),
+            pause: Pause::default(),
             latency_ms: LATENCY_DEFAULT_MS,
             first_event_ratio: 1.0,
             outcome_counts: (0, 0),
--- a/crates/fescuelock-gateway/src/watcher.rs
+++ b/crates/fescuelock-gateway/src/watcher.rs
@@ -16,6 +16,7 @@
 use crate::crashes;
 use crate::hedge;
 use crate::node_state::NodeState;
+use crate::pauses;
 
 /// Longest wait of one watch call, in milliseconds. Long waits save calls; connections that stop
 /// responding meanwhile are detected by keep-alive probes.
@@ -369,6 +370,7 @@
         let now_ms = node_state.now_ms();
         crashes::announce_verdicts(&node_state);
         hedge::record_long_silences(&node_state);
+        pauses::record_ended(&node_state);
         let expired = node_state.fleet().remove_expired(now_ms);
         for id in expired {
             info!(node_state.logger,
--- a/crates/fescuelock-policy/src/admission.rs
+++ b/crates/fescuelock-policy/src/admission.rs
@@ -10,6 +10,9 @@
 pub struct AdmissionContext {
     /// Expected time until an upstream has free capacity, in milliseconds, or `None` if unknown.
     pub time_to_capacity_ms: Option<f64>,
+    /// Time until the first upstream takes requests again, in milliseconds, if all of them have
+    /// stated that they want none until then.
+    pub paused_ms: Option<f64>,
     /// Time that the request has been queued, in milliseconds.
     pub waited_ms: f64,
     /// Latency objective, in milliseconds.
@@ -63,7 +66,10 @@
 pub fn decide(context: &AdmissionContext, options: &AdmissionOptions, draw: f64) -> Admission {
     let wait_max_ms = options.wait_max_target_share * context.target_ms - context.waited_ms;
     let starts_in_time = match context.time_to_capacity_ms {
-        Some(expected_ms) => expected_ms <= wait_max_ms,
+        Some(expected_ms) => {
+            expected_ms <= wait_max_ms
+                && context.paused_ms.is_none_or(|paused_ms| paused_ms < context.deadline_left_ms)
+        }
         None => false,
     };
     if starts_in_time && context.queued_requests < options.queue_length_max && wait_max_ms > 0.0 {
@@ -74,9 +80,15 @@
 
 /// Returns the retry delay of a refused caller, in milliseconds. `draw` is a uniform random number
 /// in [0, 1).
+///
+/// A near deadline shortens a delay that follows from an estimate, but not one that follows from a
+/// pause: before its end each retry is in vain.
 pub fn retry_after_ms(context: &AdmissionContext, options: &AdmissionOptions, draw: f64) -> f64 {
-    let earliest_ms = context.time_to_capacity_ms.unwrap_or(0.0).max(options.retry_after_min_ms);
     let jitter_ms = options.retry_jitter_ms.min(context.target_ms);
+    if let Some(paused_ms) = context.paused_ms {
+        return paused_ms.max(options.retry_after_min_ms) + draw * jitter_ms;
+    }
+    let earliest_ms = context.time_to_capacity_ms.unwrap_or(0.0).max(options.retry_after_min_ms);
     let latest_ms = (context.deadline_left_ms * RETRY_AFTER_SHARE_MAX).max(0.0);
     (earliest_ms + draw * jitter_ms).min(latest_ms)
 }
--- a/crates/fescuelock-policy/tests/admission.rs
+++ b/crates/fescuelock-policy/tests/admission.rs
@@ -4,6 +4,7 @@
 
 const CONTEXT: AdmissionContext = AdmissionContext {
     time_to_capacity_ms: Some(40.0),
+    paused_ms: None,
     waited_ms: 0.0,
     target_ms: 1_500.0,
     deadline_left_ms: 5_000.0,
@@ -47,3 +48,28 @@
     let short = AdmissionContext { deadline_left_ms: 300.0, ..refused };
     assert_eq!(decide(&short, &AdmissionOptions::default(), 0.9), Admission::Refuse(100.0));
 }
+
+/// A caller was told to come back before any upstream took requests again.
+#[test]
+fn retry_within_pause() {
+    let paused = AdmissionContext {
+        time_to_capacity_ms: Some(4_000.0),
+        paused_ms: Some(4_000.0),
+        ..CONTEXT
+    };
+    for draw in [0.0, 0.5, 0.99] {
+        match decide(&paused, &AdmissionOptions::default(), draw) {
+            Admission::Refuse(after_ms) => {
+                assert!((4_000.0..=5_000.0).contains(&after_ms), "{after_ms}");
+            }
+            Admission::Queue(wait_ms) => panic!("queued for {wait_ms} ms"),
+        }
+    }
+    // A pause that ends within the longest wait is waited for.
+    let short =
+        AdmissionContext { time_to_capacity_ms: Some(60.0), paused_ms: Some(60.0), ..CONTEXT };
+    assert!(matches!(decided(short), Admission::Queue(_)));
+    // One that ends only after the deadline is not.
+    let near_deadline = AdmissionContext { deadline_left_ms: 50.0, ..short };
+    assert!(matches!(decided(near_deadline), Admission::Refuse(_)));
+}
