gateway: Send nothing new to upstreams that say that they are leaving

Callers' requests went on to an upstream that had said in an answer that it was leaving, as long as its record said ready: first sends, retries, resumed streams, escalations, second sends, requests in the queue and requests that waited for a connection. Nothing read the statement.

The head of each accepted answer is now read for it, also of refusals and of answers that are dropped; not of a 421, which another upstream sends, nor of an answer that does not count as the one to its request. From then on the incarnation is not ready, whatever its record says, and `can_send_to` checks that once more after the wait for a connection. The memory is kept apart from the record, bounded in number, and ends with the incarnation: another start or another service. A record without a start holds ten minutes beyond the last answer. A record that says draining is remembered in the same way. Nodes tell each other in their reports, as incarnation and age; what is known from a report alone holds for a minute after the answer.

--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -25,6 +25,7 @@
 use crate::crashes;
 use crate::handler::RoutedRequest;
 use crate::hedge;
+use crate::leaving;
 use crate::limits;
 use crate::metrics::LabelledCounter;
 use crate::node_state::NodeState;
@@ -191,7 +192,9 @@
         }
 
         _ => {
-            connections.checkin(connection);
+            if !node_state.fleet().is_leaving(placement.key) {
+                connections.checkin(connection);
+            }
             return SendResult::NotSent(progress);
         }
     };
@@ -368,6 +371,7 @@
         return Some(UnknownCause::AnswerInvalid);
     }
     hedge::record_byte(node_state, placement);
+    record_leaving(node_state, upstream_response);
     record_stated_limit(node_state, upstream_response);
     let now_ms = node_state.now_ms();
     let is_failure = upstream_response.status.is_server_error()
@@ -432,6 +436,18 @@
     None
 }
 
+/// Records that an upstream states in a response that it is leaving, and tells the other nodes.
+fn record_leaving(node_state: &NodeState, upstream_response: &UpstreamResponse) {
+    if !upstream_response.parsed_headers.is_leaving {
+        return;
+    }
+    let incarnation = upstream_response.placement.incarnation;
+    if node_state.fleet().record_leaving(incarnation, node_state.now_ms()) {
+        node_state.report_soon.notify_one();
+    }
+    leaving::announce(node_state);
+}
+
 /// Records the rate limit that an upstream states in a response, and tells the other nodes if it has
 /// changed.
 fn record_stated_limit(node_state: &NodeState, upstream_response: &UpstreamResponse) {
--- a/crates/fescuelock-gateway/src/fleet.rs
+++ b/crates/fescuelock-gateway/src/fleet.rs
@@ -8,6 +8,7 @@
 use fescuelock_policy::cold_start::node_rank;
 use fescuelock_policy::crash_evidence::{CrashEvidence, PromptVerdict};
 use fescuelock_policy::health::Outcome;
+use fescuelock_policy::leaving::{Incarnation, LeavingReport, LeavingSource, LeavingUpstreams};
 use fescuelock_policy::node::{Bounds, NodeSettings};
 use fescuelock_policy::placement::hash_name;
 use fescuelock_policy::prefill_time::PrefillTimes;
@@ -15,6 +16,7 @@
 use fescuelock_policy::stated_limit::{LimitChange, LimitReport};
 use fescuelock_policy::upstream::{UpstreamRecord, UpstreamState};
 
+use crate::leaving::{LeavingChange, LeavingEnd};
 use crate::rollouts::{PendingStateWrite, Rollouts};
 use crate::upstream::{Load, Upstream, UpstreamKey};
 
@@ -69,6 +71,10 @@
     pub rollouts: Rollouts,
     /// Evidence on prompt segments that crash engines.
     pub crash_evidence: CrashEvidence,
+    /// Incarnations of upstreams that are leaving, with or without a record.
+    leaving: LeavingUpstreams,
+    /// Changes of `Upstream::is_leaving` that were not announced yet.
+    leaving_changes: Vec<LeavingChange>,
     /// Operators' weights for cost, quality and risk.
     pub scoring_weights: ScoringWeights,
 }
@@ -97,6 +103,8 @@
             prefill_times: PrefillTimes::default(),
             rollouts: Rollouts::new(run_id),
             crash_evidence: CrashEvidence::new(node_hash),
+            leaving: LeavingUpstreams::default(),
+            leaving_changes: Vec::new(),
             scoring_weights,
         }
     }
@@ -114,13 +122,13 @@
     /// Returns the kind of change for the log, if there is one to log.
     pub fn upsert(
         &mut self,
-        record: UpstreamRecord,
+        mut record: UpstreamRecord,
         is_first_list: bool,
         warmup_ms: u64,
         now_ms: u64,
     ) -> Option<&'static str> {
         let known = self.by_id.get(&record.id).and_then(|key| self.upstreams.get_mut(key));
-        match known {
+        let (change, key) = match known {
             Some(upstream) if is_same_incarnation(&upstream.record, &record) => {
                 upstream.remove_at_ms = None;
                 let cold_until_ms = now_ms + record.warmup_left_ms;
@@ -129,8 +137,14 @@
                 }
                 let starts_draining = record.state == UpstreamState::Draining
                     && upstream.record.state == UpstreamState::Ready;
+                // A record without the start still describes the incarnation that is known.
+                record.started_at_ms = record.started_at_ms.or(upstream.record.started_at_ms);
+                let incarnation = Incarnation::of(&record);
+                self.leaving.infer_start(upstream.incarnation.hash, incarnation.hash);
+                upstream.incarnation = incarnation;
+                let key = self.by_id[&record.id];
                 upstream.record = record;
-                starts_draining.then_some("draining")
+                (starts_draining.then_some("draining"), key)
             }
 
             _ => {
@@ -142,14 +156,140 @@
                 self.next_key += 1;
                 let key = UpstreamKey(self.next_key);
                 if let Some(old) = self.by_id.insert(id, key) {
-                    self.upstreams.remove(&old);
+                    self.discard(old, LeavingEnd::Replaced);
                 }
                 self.upstreams.insert(key, upstream);
-                Some("joined")
+                (Some("joined"), key)
+            }
+        };
+        self.apply_listed_state(key, now_ms);
+        change
+    }
+
+    /// Applies to an upstream what its record and the memory say about whether it is leaving.
+    fn apply_listed_state(&mut self, key: UpstreamKey, now_ms: u64) {
+        let Some(upstream) = self.upstreams.get_mut(&key) else {
+            return;
+        };
+        let incarnation = upstream.incarnation;
+        // Without the start, the end of the record's state is the only sign of a new process.
+        if upstream.record.state == UpstreamState::Draining && incarnation.has_start {
+            self.leaving.record(incarnation.hash, LeavingSource::Store, true, now_ms);
+        }
+        let source = self.leaving.source(incarnation.hash, now_ms);
+        if let Some(source) = source.filter(|_| !upstream.is_leaving) {
+            self.leaving_changes.push(upstream.begin_leaving(source));
+        }
+    }
+
+    /// Removes the state of an upstream.
+    fn discard(&mut self, key: UpstreamKey, reason: LeavingEnd) {
+        if let Some(upstream) = self.upstreams.remove(&key)
+            && upstream.is_leaving
+        {
+            let upstream = upstream.record.id;
+            self.leaving_changes.push(LeavingChange::Ended { upstream, reason });
+        }
+    }
+
+    /// Records that an upstream stated in an answer that it is leaving, also if its record is gone.
+    /// Returns whether the other nodes should be told.
+    pub fn record_leaving(&mut self, incarnation: Incarnation, now_ms: u64) -> bool {
+        let is_listed_leaving = self.is_listed_leaving(incarnation.hash);
+        let source = LeavingSource::Answer;
+        let is_new = self.leaving.record(incarnation.hash, source, is_listed_leaving, now_ms);
+        if is_new {
+            self.begin_leaving(&[incarnation.hash], source);
+        }
+        is_new && !is_listed_leaving
+    }
+
+    /// Returns whether the record of an incarnation says that it is leaving.
+    fn is_listed_leaving(&self, incarnation: u64) -> bool {
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|upstream| {
+            upstream.incarnation.hash == incarnation
+                && upstream.record.state == UpstreamState::Draining
+        })
+    }
+
+    /// Marks the upstreams of some incarnations as leaving.
+    fn begin_leaving(&mut self, incarnations: &[u64], source: LeavingSource) {
+        for upstream in self.upstreams.values_mut() {
+            if incarnations.contains(&upstream.incarnation.hash) && !upstream.is_leaving {
+                self.leaving_changes.push(upstream.begin_leaving(source));
+            }
+        }
+    }
+
+    /// Returns what other nodes should know of upstreams that are leaving.
+    pub fn leaving_reports(&mut self, is_full: bool, now_ms: u64) -> Vec<LeavingReport> {
+        self.leaving.reports(is_full, now_ms)
+    }
+
+    /// Merges another node's reports of upstreams that are leaving. Returns whether they hold news
+    /// for further nodes.
+    pub fn apply_leaving_reports(&mut self, reports: &[LeavingReport], now_ms: u64) -> bool {
+        if reports.is_empty() {
+            return false;
+        }
+        let listed = self
+            .upstreams
+            .values()
+            .filter(|upstream| upstream.record.state == UpstreamState::Draining);
+        let listed: HashSet<u64> = listed.map(|upstream| upstream.incarnation.hash).collect();
+        let is_listed_leaving = |incarnation: u64| listed.contains(&incarnation);
+        let added = self.leaving.apply_reports(reports, is_listed_leaving, now_ms);
+        self.begin_leaving(&added, LeavingSource::Report);
+        added.iter().any(|incarnation| !listed.contains(incarnation))
+    }
+
+    /// Forgets upstreams that were leaving long ago.
+    pub fn expire_leaving(&mut self, now_ms: u64) {
+        if self.leaving.is_empty() {
+            return;
+        }
+        let listed = self
+            .upstreams
+            .values()
+            .filter(|upstream| upstream.is_leaving && upstream.incarnation.has_start);
+        let listed: HashSet<u64> = listed.map(|upstream| upstream.incarnation.hash).collect();
+        self.leaving.expire(&listed, now_ms);
+        for upstream in self.upstreams.values_mut().filter(|upstream| upstream.is_leaving) {
+            if self.leaving.source(upstream.incarnation.hash, now_ms).is_none() {
+                upstream.is_leaving = false;
+                self.leaving_changes.push(LeavingChange::Ended {
+                    upstream: upstream.record.id.clone(),
+                    reason: LeavingEnd::Expired,
+                });
             }
         }
     }
 
+    /// Takes the changes of which upstreams are leaving, to announce them.
+    pub fn take_leaving_changes(&mut self) -> Vec<LeavingChange> {
+        std::mem::take(&mut self.leaving_changes)
+    }
+
+    /// Returns the number of upstreams with a record that are known to be leaving.
+    pub fn leaving_count(&self) -> usize {
+        self.upstreams.values().filter(|upstream| upstream.is_leaving).count()
+    }
+
+    /// Returns the number of a service's upstreams that are known to be leaving.
+    pub fn leaving_count_in(&self, pool: &str) -> usize {
+        if self.leaving.is_empty() {
+            return 0;
+        }
+        let in_pool = self.upstreams.values().filter(|upstream| upstream.record.pool == pool);
+        in_pool.filter(|upstream| upstream.is_leaving).count()
+    }
+
+    /// Returns whether an upstream with a record is known to be leaving.
+    pub fn is_leaving(&self, key: UpstreamKey) -> bool {
+        self.upstreams.get(&key).is_some_and(|upstream| upstream.is_leaving)
+    }
+
     /// Removes an upstream whose record is missing, or schedules its removal if `remove_at_ms` lies
     /// in the future.
     ///
@@ -160,7 +300,7 @@
         };
         if remove_at_ms <= now_ms {
             self.by_id.remove(id);
-            self.upstreams.remove(&key);
+            self.discard(key, LeavingEnd::Removed);
         } else if let Some(upstream) = self.upstreams.get_mut(&key) {
             let previous_ms = upstream.remove_at_ms.unwrap_or(remove_at_ms);
             upstream.remove_at_ms = Some(previous_ms.min(remove_at_ms));
--- a/crates/fescuelock-gateway/src/lib.rs
+++ b/crates/fescuelock-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod handler;
 pub mod hedge;
+pub mod leaving;
 pub mod limits;
 pub mod log;
 pub mod metrics;
--- a/crates/fescuelock-gateway/src/metrics.rs
+++ b/crates/fescuelock-gateway/src/metrics.rs
@@ -49,6 +49,8 @@
     Silences,
     /// Second sends beside an attempt whose upstream is silent, by outcome.
     SecondSends,
+    /// Upstreams that turned out to be leaving, and ends of that state.
+    LeavingChanges,
 }
 
 /// `Gauge` identifies a value that is read when metrics are scraped.
@@ -74,6 +76,8 @@
     SegmentsRejected,
     /// Upstreams that state a limit.
     UpstreamsLimited,
+    /// Upstreams that are known to be leaving.
+    UpstreamsLeaving,
 }
 
 impl LatencyHistogram {
@@ -98,7 +102,7 @@
 
 impl LabelledCounter {
     /// All labelled counters.
-    pub const ALL: [LabelledCounter; 8] = [
+    pub const ALL: [LabelledCounter; 9] = [
         LabelledCounter::Refusals,
         LabelledCounter::Failures,
         LabelledCounter::ModelSizes,
@@ -107,6 +111,7 @@
         LabelledCounter::LimitChanges,
         LabelledCounter::Silences,
         LabelledCounter::SecondSends,
+        LabelledCounter::LeavingChanges,
     ];
 
     /// Returns the exported name of the counter, without its prefix.
@@ -120,13 +125,14 @@
             LabelledCounter::LimitChanges => "limit_changes",
             LabelledCounter::Silences => "silences",
             LabelledCounter::SecondSends => "second_sends",
+            LabelledCounter::LeavingChanges => "leaving_changes",
         }
     }
 }
 
 impl Gauge {
     /// All gauges.
-    pub const ALL: [Gauge; 10] = [
+    pub const ALL: [Gauge; 11] = [
         Gauge::RequestsInFlight,
         Gauge::RequestsWaiting,
         Gauge::UpstreamsReady,
@@ -137,6 +143,7 @@
         Gauge::LogLinesDropped,
         Gauge::SegmentsRejected,
         Gauge::UpstreamsLimited,
+        Gauge::UpstreamsLeaving,
     ];
 
     /// Returns the exported name of the gauge, without its prefix.
@@ -152,6 +159,7 @@
             Gauge::LogLinesDropped => "log_lines_left_out",
             Gauge::SegmentsRejected => "segments_rejected",
             Gauge::UpstreamsLimited => "upstreams_limited",
+            Gauge::UpstreamsLeaving => "upstreams_leaving",
         }
     }
 }
--- a/crates/fescuelock-gateway/src/peers.rs
+++ b/crates/fescuelock-gateway/src/peers.rs
@@ -12,6 +12,7 @@
 
 use fescuelock_platform::records::NodeRecord;
 use fescuelock_policy::crash_evidence::SegmentReport;
+use fescuelock_policy::leaving::LeavingReport;
 use fescuelock_policy::stated_limit::LimitReport;
 use fescuelock_store::Error as StoreError;
 use fescuelock_store::resources::{Collection, SharedResources};
@@ -21,6 +22,7 @@
 
 use crate::crashes;
 use crate::fleet::UpstreamStats;
+use crate::leaving;
 use crate::limits;
 use crate::node_state::NodeState;
 use crate::report::{EncodedSegment, Report, RolloutReport};
@@ -62,11 +64,11 @@
 /// `ReportContent` tells what a report holds beside the node's load.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum ReportContent {
-    /// News on prompts and limits.
+    /// News on prompts, limits and leaving upstreams.
     News,
     /// News, and the node's own counts of roll-outs.
     Own,
-    /// All that the node knows of rejected prompts, limits and roll-outs.
+    /// All that the node knows of rejected prompts, limits, leaving upstreams and roll-outs.
     Full,
 }
 
@@ -293,6 +295,7 @@
         let segments = fleet.crash_evidence.reports(is_full, now_ms);
         let limits = fleet.limit_reports(is_full, now_ms).into_iter();
         let limits = limits.map(|(upstream, report)| (upstream, report.per_s, report.age_ms));
+        let leaving = fleet.leaving_reports(is_full, now_ms).into_iter();
         let report = Report {
             name: self.node_state.settings.name.clone(),
             address: self.address,
@@ -303,6 +306,7 @@
             rollouts: rollouts.into_iter().map(RolloutReport::from).collect(),
             segments: segments.into_iter().map(EncodedSegment::from).collect(),
             limits: limits.collect(),
+            leaving: leaving.map(|report| (report.incarnation, report.age_ms)).collect(),
         };
         let mut bytes = Vec::new();
         match ciborium::into_writer(&report, &mut bytes) {
@@ -350,7 +354,13 @@
         let limits: HashMap<u64, LimitReport> =
             limits.map(|(hash, per_s, age_ms)| (hash, LimitReport { per_s, age_ms })).collect();
         let limit_changes = fleet.apply_limit_reports(&limits, now_ms);
+        let leaving_reports = report.leaving.into_iter();
+        let leaving_reports: Vec<LeavingReport> = leaving_reports
+            .map(|(incarnation, age_ms)| LeavingReport { incarnation, age_ms })
+            .collect();
+        has_news |= fleet.apply_leaving_reports(&leaving_reports, now_ms);
         drop(fleet);
+        leaving::announce(&self.node_state);
         for (upstream, change) in limit_changes {
             limits::announce(&self.node_state, &upstream, "report", change);
             has_news = true;
--- a/crates/fescuelock-gateway/src/placement.rs
+++ b/crates/fescuelock-gateway/src/placement.rs
@@ -4,6 +4,7 @@
 use fescuelock_policy::crash_evidence::PromptVerdict;
 use fescuelock_policy::deployment::{Route, UpstreamPool};
 use fescuelock_policy::health;
+use fescuelock_policy::leaving::Incarnation;
 use fescuelock_policy::placement::{self, Candidate, PlacementOptions, hash_name, hash_pair};
 use fescuelock_policy::prompt::Prompt;
 use fescuelock_policy::rollout;
@@ -69,6 +70,8 @@
     pub key: UpstreamKey,
     /// Id of the upstream.
     pub id: String,
+    /// Incarnation of the upstream.
+    pub incarnation: Incarnation,
     /// Software version of the upstream.
     pub version: String,
     /// Expected time until the answer or its first event, in milliseconds.
@@ -211,6 +214,7 @@
         Ok(Placement {
             key,
             id: upstream.record.id.clone(),
+            incarnation: upstream.incarnation,
             version: upstream.record.version.clone(),
             expected_ms: candidate.expected_ms,
             nominal_ms: candidate.expected_ms / upstream.first_event_ratio.max(1.0),
--- a/crates/fescuelock-gateway/src/queue.rs
+++ b/crates/fescuelock-gateway/src/queue.rs
@@ -97,6 +97,10 @@
 
             Admission::Refuse(retry_after_ms) => {
                 record_wait(waited_ms);
+                let leaving = node_state.fleet().leaving_count_in(&request.pool().name);
+                if leaving > 0 {
+                    trace.add("leaving", format!("{leaving} upstreams of the service"));
+                }
                 trace.add("refused", format!("{placement_error:?}, {context:?}"));
                 let refusal = match placement_error {
                     PlacementError::NoCandidate => Refusal::NoUpstream(request.pool().name.clone()),
--- a/crates/fescuelock-gateway/src/readiness.rs
+++ b/crates/fescuelock-gateway/src/readiness.rs
@@ -65,6 +65,7 @@
             Gauge::StoreAgeMs => now_ms.saturating_sub(store_ms) as f64,
             Gauge::SegmentsRejected => fleet.crash_evidence.rejected_count() as f64,
             Gauge::UpstreamsLimited => fleet.limited_count() as f64,
+            Gauge::UpstreamsLeaving => fleet.leaving_count() as f64,
             Gauge::LogLinesDropped => self.node_state.log_buffer.dropped_total() as f64,
         };
         let gauges = Gauge::ALL.map(|gauge| (gauge, value(gauge)));
--- a/crates/fescuelock-gateway/src/report.rs
+++ b/crates/fescuelock-gateway/src/report.rs
@@ -35,6 +35,10 @@
     /// `None` if it states none any more, and age in milliseconds. Older versions send none.
     #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<(u64, Option<f64>, u32)>,
+    /// Upstreams that are leaving: hash of the upstream's incarnation, and age in milliseconds.
+    /// Older versions send none.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub leaving: Vec<(u64, u32)>,
 }
 
 /// `EncodedSegment` is the encoded form of a [`SegmentReport`].
--- a/crates/fescuelock-gateway/src/serve.rs
+++ b/crates/fescuelock-gateway/src/serve.rs
@@ -189,7 +189,7 @@
             if let Some(upstream) = node_state.fleet().upstream_mut(load_guard.key) {
                 upstream.record_latency(request.arrived.elapsed().as_secs_f64() * 1_000.0);
                 let may_keep = identity.may_keep_connection(status.is_server_error());
-                if may_keep && !parsed_headers.closes_connection {
+                if may_keep && !parsed_headers.closes_connection && !upstream.is_leaving {
                     upstream.connections.checkin(connection);
                 }
             }
@@ -383,6 +383,9 @@
 
         SendResult::NotSent(progress) => {
             trace.add("not sent", format!("to {upstream_id}"));
+            if node_state.fleet().is_leaving(key) {
+                trace.add("leaving", format!("upstream {upstream_id}"));
+            }
             state.progress = Some(match (earlier, repeat_permission(request)) {
                 (Some(_), Some(repeatable)) => PendingRequest::hedge(repeatable),
                 _ => progress,
--- a/crates/fescuelock-gateway/src/upstream.rs
+++ b/crates/fescuelock-gateway/src/upstream.rs
@@ -7,12 +7,15 @@
 use fescuelock_http::pool::{Pool, PoolOptions};
 use fescuelock_policy::cold_start::ColdStartBucket;
 use fescuelock_policy::health::Health;
+use fescuelock_policy::leaving::{Incarnation, LeavingSource};
 use fescuelock_policy::placement::hash_name;
 use fescuelock_policy::prompt::Prompt;
 use fescuelock_policy::silence::Silence;
 use fescuelock_policy::stated_limit::StatedLimit;
 use fescuelock_policy::upstream::{UpstreamRecord, UpstreamState};
 
+use crate::leaving::LeavingChange;
+
 /// `UpstreamKey` identifies one incarnation of an upstream on this node. Keys are never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct UpstreamKey(pub u64);
@@ -70,6 +73,10 @@
     pub record: UpstreamRecord,
     /// Stable hash of the upstream's id.
     pub hash: u64,
+    /// Incarnation that the record describes.
+    pub incarnation: Incarnation,
+    /// Whether this incarnation is known to be leaving, whatever its record says.
+    pub is_leaving: bool,
     /// Time until which the upstream counts as cold, in milliseconds of the node's clock.
     pub cold_until_ms: u64,
     /// Rate limit of this node's requests to the upstream while it is cold.
@@ -122,6 +129,8 @@
         let connections = Arc::new(Pool::new(network.clone(), record.address.clone(), options));
         Upstream {
             hash: hash_name(&record.id),
+            incarnation: Incarnation::of(&record),
+            is_leaving: false,
             cold_until_ms: now_ms + record.warmup_left_ms,
             record,
             cold_bucket: ColdStartBucket::default(),
@@ -148,9 +157,17 @@
         self.hash ^ self.record.started_at_ms.unwrap_or(0).rotate_left(32)
     }
 
+    /// Marks the upstream as leaving: it gets no new requests, and idle connections are dropped.
+    pub fn begin_leaving(&mut self, source: LeavingSource) -> LeavingChange {
+        self.is_leaving = true;
+        self.connections.clear();
+        LeavingChange::Begun { upstream: self.record.id.clone(), source }
+    }
+
     /// Returns whether the upstream accepts new requests.
     pub fn is_ready(&self, now_ms: u64) -> bool {
         self.record.state == UpstreamState::Ready
+            && !self.is_leaving
             && self.remove_at_ms.is_none_or(|remove_at_ms| now_ms < remove_at_ms)
     }
 
--- a/crates/fescuelock-gateway/src/watcher.rs
+++ b/crates/fescuelock-gateway/src/watcher.rs
@@ -15,6 +15,7 @@
 
 use crate::crashes;
 use crate::hedge;
+use crate::leaving;
 use crate::node_state::NodeState;
 
 /// Longest wait of one watch call, in milliseconds. Long waits save calls; connections that stop
@@ -287,6 +288,7 @@
                 );
                 let changed =
                     self.node_state.fleet().upsert(record, is_first_list, warmup_ms, now_ms);
+                leaving::announce(&self.node_state);
                 if let Some(change) = changed {
                     info!(self.node_state.logger, "upstream changed"; "upstream" => &resource.name,
                         "change" => change, "revision" => resource.revision, "as" => description);
@@ -370,6 +372,8 @@
         crashes::announce_verdicts(&node_state);
         hedge::record_long_silences(&node_state);
         let expired = node_state.fleet().remove_expired(now_ms);
+        node_state.fleet().expire_leaving(now_ms);
+        leaving::announce(&node_state);
         for id in expired {
             info!(node_state.logger,
                 "upstream removed, record still missing after the store outage"; "upstream" => id);
--- a/crates/fescuelock-policy/src/lib.rs
+++ b/crates/fescuelock-policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod escalation;
 pub mod event_stream;
 pub mod health;
+pub mod leaving;
 pub mod node;
 pub mod placement;
 pub mod prefill_time;
