--- a/crates/fescuelock-gateway/src/metrics.rs
+++ b/crates/fescuelock-gateway/src/metrics.rs
@@ -51,6 +51,8 @@
     SecondSends,
     /// Pauses of upstreams, by state: begun, lengthened or ended.
     Pauses,
+    /// Upstreams that turned out to be leaving, and ends of that state.
+    LeavingChanges,
 }
 
 /// `Gauge` identifies a value that is read when metrics are scraped.
@@ -78,6 +80,8 @@
     UpstreamsLimited,
     /// Upstreams that want nothing from this node for a time.
     UpstreamsPaused,
+    /// Upstreams that are known to be leaving.
+    UpstreamsLeaving,
 }
 
 impl LatencyHistogram {
@@ -102,7 +106,7 @@
 
 impl LabelledCounter {
     /// All labelled counters.
-    pub const ALL: [LabelledCounter; 9] = [
+    pub const ALL: [LabelledCounter; 10] = [
         LabelledCounter::Refusals,
         LabelledCounter::Failures,
         LabelledCounter::ModelSizes,
@@ -112,6 +116,7 @@
         LabelledCounter::Silences,
         LabelledCounter::SecondSends,
         LabelledCounter::Pauses,
+        LabelledCounter::LeavingChanges,
     ];
 
     /// Returns the exported name of the counter, without its prefix.
@@ -126,13 +131,14 @@
             LabelledCounter::Silences => "silences",
             LabelledCounter::SecondSends => "second_sends",
             LabelledCounter::Pauses => "pauses",
+            LabelledCounter::LeavingChanges => "leaving_changes",
         }
     }
 }
 
 impl Gauge {
     /// All gauges.
-    pub const ALL: [Gauge; 11] = [
+    pub const ALL: [Gauge; 12] = [
         Gauge::RequestsInFlight,
         Gauge::RequestsWaiting,
         Gauge::UpstreamsReady,
@@ -144,6 +150,7 @@
         Gauge::SegmentsRejected,
         Gauge::UpstreamsLimited,
         Gauge::UpstreamsPaused,
+        Gauge::UpstreamsLeaving,
     ];
 
     /// Returns the exported name of the gauge, without its prefix.
@@ -160,6 +167,7 @@
             Gauge::SegmentsRejected => "segments_rejected",
             Gauge::UpstreamsLimited => "upstreams_limited",
             Gauge::UpstreamsPaused => "upstreams_paused",
+            Gauge::UpstreamsLeaving => "upstreams_leaving",
         }
     }
 }
--- a/crates/fescuelock-gateway/src/serve.rs
+++ b/crates/fescuelock-gateway/src/serve.rs
@@ -192,7 +192,7 @@
             if let Some(upstream) = node_state.fleet().upstream_mut(load_guard.key) {
                 upstream.record_latency(request.arrived.elapsed().as_secs_f64() * 1_000.0);
                 let may_keep = identity.may_keep_connection(status.is_server_error());
-                if may_keep && !parsed_headers.closes_connection {
+                if may_keep && !parsed_headers.closes_connection && !upstream.is_leaving {
                     upstream.connections.checkin(connection);
                 }
             }
@@ -398,6 +398,9 @@
             let is_paused = is_paused(node_state, key);
             let reason = if is_paused { ", which pauses" } else { "" };
             trace.add("not sent", format!("to {upstream_id}{reason}"));
+            if node_state.fleet().is_leaving(key) {
+                trace.add("leaving", format!("upstream {upstream_id}"));
+            }
             state.progress = Some(match (earlier, repeat_permission(request)) {
                 (Some(_), Some(repeatable)) => PendingRequest::hedge(repeatable),
                 _ => progress,
--- a/crates/fescuelock-gateway/src/watcher.rs
+++ b/crates/fescuelock-gateway/src/watcher.rs
@@ -15,6 +15,7 @@
 
 use crate::crashes;
 use crate::hedge;
+use crate::leaving;
 use crate::node_state::NodeState;
 use crate::pauses;
 
@@ -288,6 +289,7 @@
                 );
                 let changed =
                     self.node_state.fleet().upsert(record, is_first_list, warmup_ms, now_ms);
+                leaving::announce(&self.node_state);
                 if let Some(change) = changed {
                     info!(self.node_state.logger, "upstream changed"; "upstream" => &resource.name,
                         "change" => change, "revision" => resource.revision, "as" => description);
@@ -372,6 +374,8 @@
         hedge::record_long_silences(&node_state);
         pauses::record_ended(&node_state);
         let expired = node_state.fleet().remove_expired(now_ms);
+        node_state.fleet().expire_leaving(now_ms);
+        leaving::announce(&node_state);
         for id in expired {
             info!(node_state.logger,
                 "upstream removed, record still missing after the store outage"; "upstream" => id);
