gateway: Compare versions by the shortest intervals, at equal load

Mildly slow versions were completed and kept, good ones reverted. The mean of six intervals between events holds the prefills of other requests and the silences of the upstream, and 0 for an event that comes with the head; a stream of one event had an interval of 0.1 ms. Each node started its baselines with the roll-out, from one sample, which at two requests per second and node stayed most of the baseline. Before the last stage the new version's upstreams had 0.7 of the load of the old ones.

The sample of a stream is now its shortest interval. Intervals are counted apart from the time to the response and count as slow from 1.5 times the baseline. Baselines are medians and are observed at all times. Exposed upstreams have the load of the old ones.

--- a/crates/fescuelock-gateway/src/dispatch.rs
+++ b/crates/fescuelock-gateway/src/dispatch.rs
@@ -16,6 +16,7 @@
 use fescuelock_policy::answer_identity::{self, AnswerIdentity, AnswerLabels};
 use fescuelock_policy::health::Outcome as HealthOutcome;
 use fescuelock_policy::placement::hash_name;
+use fescuelock_policy::rollout::SampleKind;
 use fescuelock_policy::silence::HedgeTimeouts;
 use http::{HeaderMap, Request, StatusCode};
 use hyper::body::Incoming;
@@ -424,6 +425,7 @@
                 pool,
                 version,
                 request.route_hash(),
+                SampleKind::Response,
                 comparison_key,
                 latency_sample,
             );
--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use fescuelock_policy::crash_evidence::BEGUN_EVENTS;
 use fescuelock_policy::health::Outcome as HealthOutcome;
 use fescuelock_policy::placement::hash_name;
+use fescuelock_policy::rollout::{EventIntervals, SampleKind};
 use fescuelock_policy::silence::HedgeTimeouts;
 use http::Response;
 use http_body_util::BodyExt;
@@ -43,10 +44,6 @@
 /// events.
 const STREAM_STALL_FACTOR: f64 = 3.0;
 
-/// Number of events over which the mean interval between the events of a stream is measured: enough
-/// that a single delay doesn't decide it, and few enough to detect a slow version within seconds.
-const INTERVAL_EVENTS_MIN: u64 = 6;
-
 /// Scheduling priority at the engine of resumed streams. They are served before all new requests.
 const ENGINE_PRIORITY_RESUMED: u32 = 1;
 
@@ -68,12 +65,12 @@
     version: String,
 }
 
-/// `IntervalMeasurement` is the start of measuring the mean interval between the events that one
-/// engine sends.
+/// `IntervalMeasurement` measures the intervals between the events that one engine sends.
 struct IntervalMeasurement {
+    intervals: EventIntervals,
     started: Instant,
-    /// Id of the last event before the engine's first one, if there is one.
-    start_id: Option<u64>,
+    /// Id of the last event that was measured, or of the last event before the engine's first one.
+    last_id: u64,
 }
 
 /// `ForwardEnd` is the reason why forwarding from one engine has ended.
@@ -274,8 +271,11 @@
             placement,
             ..
         } = upstream_response;
-        let mut measurement =
-            Some(IntervalMeasurement { started: Instant::now(), start_id: self.reader.last_id() });
+        let mut measurement = IntervalMeasurement {
+            intervals: EventIntervals::default(),
+            started: Instant::now(),
+            last_id: self.reader.last_id().unwrap_or(0),
+        };
         let first_event = self.reader.event_count();
         let mut is_begun = false;
         let cause = loop {
@@ -317,8 +317,9 @@
                             &self.request.parsed_headers.prompt,
                         );
                     }
-                    // A stream with few events is measured over the events that it has.
-                    self.record_event_interval(&mut measurement, &placement, 1);
+                    if let Some(shortest_ms) = measurement.intervals.finish() {
+                        self.record_event_interval(&placement, shortest_ms);
+                    }
                     return ForwardEnd::Complete;
                 }
             };
@@ -334,7 +335,13 @@
             if self.reader.is_invalid() {
                 break UnknownCause::AnswerInvalid;
             }
-            self.record_event_interval(&mut measurement, &placement, INTERVAL_EVENTS_MIN);
+            let last_id = self.reader.last_id().unwrap_or(0);
+            let events = last_id.saturating_sub(measurement.last_id);
+            measurement.last_id = last_id;
+            let elapsed_ms = measurement.started.elapsed().as_secs_f64() * 1_000.0;
+            if let Some(shortest_ms) = measurement.intervals.record(events, elapsed_ms) {
+                self.record_event_interval(&placement, shortest_ms);
+            }
         };
         ForwardEnd::Cut(self.interruption(attempt, cause, &placement, is_begun))
     }
@@ -357,39 +364,17 @@
         Interruption { attempt, cause, key: placement.key, is_begun }
     }
 
-    /// Records the mean interval between the engine's events, once, after `events_min` events or as
-    /// soon as they are late.
-    fn record_event_interval(
-        &self,
-        measurement: &mut Option<IntervalMeasurement>,
-        placement: &Placement,
-        events_min: u64,
-    ) {
-        let Some(IntervalMeasurement { started, start_id }) = measurement else {
-            return;
-        };
-        let events = self.reader.last_id().unwrap_or(0).saturating_sub(start_id.unwrap_or(0));
-        let elapsed_ms = started.elapsed().as_secs_f64() * 1_000.0;
+    /// Records the shortest interval between the engine's events.
+    fn record_event_interval(&self, placement: &Placement, shortest_ms: f64) {
         let route = self.request.route_hash();
         let comparison_key = route ^ hash_name(&self.model);
-        let pool = &self.request.pool().name;
-        let mut fleet = self.node_state.fleet();
-        // A stream that has already taken too long for `events_min` events counts as slow, however
-        // fast the remaining ones arrive.
-        let slow_interval_ms =
-            fleet.rollouts.slow_sample_min(pool, comparison_key).unwrap_or(f64::INFINITY);
-        let is_late = elapsed_ms > slow_interval_ms * events_min.max(events) as f64;
-        if events < events_min && !is_late {
-            return;
-        }
-        *measurement = None;
-        let event_interval_ms = elapsed_ms / events.max(1) as f64;
-        fleet.rollouts.record_latency_sample(
-            pool,
+        self.node_state.fleet().rollouts.record_latency_sample(
+            &self.request.pool().name,
             &placement.version,
             route,
+            SampleKind::Interval,
             comparison_key,
-            event_interval_ms,
+            shortest_ms,
         );
     }
 
--- a/crates/fescuelock-gateway/src/rollouts.rs
+++ b/crates/fescuelock-gateway/src/rollouts.rs
@@ -1,26 +1,19 @@
 //! Roll-outs of new versions on a node: assigns sessions to versions, counts the answers of both
 //! versions, and decides which state the store should hold.
 
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 
 use fescuelock_platform::rollout::{RolloutSpec, RolloutState};
 use fescuelock_policy::placement::{hash_name, hash_pair};
-use fescuelock_policy::rollout::{self, Counts, Evidence, ExposureLimit, Stage, Tally};
+use fescuelock_policy::rollout::{
+    self, Counts, Evidence, ExposureLimit, LatencyBaseline, SampleKind, Stage, Tally,
+};
 
 /// Share of a roll-out's duration after which a version is reverted if it does not serve all
 /// sessions, has too few ready upstreams, or if the evidence does not yet allow completion.
 const REVERT_ELAPSED_SHARE: f64 = 0.98;
 
-/// Factor over the baseline from which a latency sample counts as slow. Bad versions are several
-/// times slower, while long prompts of other requests occasionally double the latency.
-const SLOW_SAMPLE_FACTOR: f64 = 3.0;
-
-/// Lower bound on latency samples, in the sample's unit: see [`Rollouts::record_latency_sample`].
-const SAMPLE_MIN: f64 = 0.5;
-
-/// Weight of a latency sample in the moving average of the baseline.
-const BASELINE_WEIGHT: f64 = 0.1;
-
 /// `VersionChoice` selects the versions of a service that a request may run on.
 #[derive(Debug, Clone, PartialEq)]
 pub enum VersionChoice {
@@ -42,7 +35,7 @@
 pub struct TallyKey {
     /// Random number that identifies a run of a node.
     pub run_id: u64,
-    /// Hash of the route's name.
+    /// Hash of the route's name, by [`SampleKind::tally_key`].
     pub route: u64,
 }
 
@@ -83,23 +76,17 @@
     tallies: Tallies,
     stage: Stage,
     evidence: Evidence,
-    /// Average of the old version's latency samples, by comparison key.
-    baseline_averages: HashMap<u64, f64>,
     /// State to write to the store, and the time since which the write is pending, in milliseconds.
     pending_state: Option<(RolloutState, u64)>,
 }
 
-/// `Baseline` is the average of the old version's latency samples, by comparison key.
-struct Baseline<'a> {
-    averages: &'a mut HashMap<u64, f64>,
-    /// Whether samples update the averages: only those of the old version do.
-    updates_baseline: bool,
-}
-
 /// `Rollouts` holds the roll-outs of a node by service.
 #[derive(Debug, Default)]
 pub struct Rollouts {
     by_service: HashMap<String, Rollout>,
+    /// Latencies of the versions that are not being rolled out, by service and comparison key. They
+    /// are observed at all times, since a node has few requests during a roll-out.
+    baselines: HashMap<String, HashMap<u64, LatencyBaseline>>,
     /// Random number that identifies this run of the node.
     run_id: u64,
 }
@@ -107,7 +94,7 @@
 impl Rollouts {
     /// Builds an empty set of roll-outs. `run_id` identifies this run of the node.
     pub fn new(run_id: u64) -> Self {
-        Rollouts { by_service: HashMap::new(), run_id }
+        Rollouts { run_id, ..Rollouts::default() }
     }
 
     /// Inserts or updates a roll-out from its spec and state in the store.
@@ -147,7 +134,6 @@
                     tallies: Tallies::new(),
                     stage: Stage::Pending,
                     evidence: Evidence::default(),
-                    baseline_averages: HashMap::new(),
                     pending_state: None,
                 };
                 self.by_service.insert(pool, rollout);
@@ -199,14 +185,14 @@
 
     /// Counts a request that is sent to an upstream of a service.
     pub fn record_send(&mut self, pool: &str, version: &str, route: u64) {
-        if let Some((_, counts)) = self.counts_mut(pool, version, route) {
+        if let Some(counts) = self.counts_mut(pool, version, route) {
             counts.sends += 1;
         }
     }
 
     /// Counts an answer of an upstream of a service once it begins, and whether it is a failure.
     pub fn record_answer(&mut self, pool: &str, version: &str, route: u64, has_failed: bool) {
-        let Some((_, counts)) = self.counts_mut(pool, version, route) else {
+        let Some(counts) = self.counts_mut(pool, version, route) else {
             return;
         };
         counts.answers += 1;
@@ -214,7 +200,8 @@
     }
 
     /// Records a latency sample of a response: for a stream, the time to its first event in percent
-    /// of the nominal time, or its milliseconds per event; for a plain response, its milliseconds.
+    /// of the nominal time, or its shortest interval between events in milliseconds; for a plain
+    /// response, its milliseconds.
     ///
     /// `comparison_key` is a hash of the route, the model and the kind of sample. Only samples with
     /// the same key are compared with each other.
@@ -223,57 +210,43 @@
         pool: &str,
         version: &str,
         route: u64,
+        kind: SampleKind,
         comparison_key: u64,
         latency_sample: f64,
     ) {
-        let Some((baseline, counts)) = self.counts_mut(pool, version, route) else {
+        let is_unproven = self.by_service.get(pool).is_some_and(|rollout| {
+            rollout.spec.version == version && rollout.state != Some(RolloutState::Complete)
+        });
+        let known = self.baselines.get(pool).and_then(|known| known.get(&comparison_key)).copied();
+        if let Some(baseline) = known
+            && let Some(counts) = self.counts_mut(pool, version, kind.tally_key(route))
+        {
+            counts.add_latency_ratio(kind, baseline.ratio(latency_sample));
+        }
+        if is_unproven {
+            return;
+        }
+        if !self.baselines.contains_key(pool) {
+            self.baselines.insert(pool.to_owned(), HashMap::new());
+        }
+        let Some(baselines) = self.baselines.get_mut(pool) else {
             return;
         };
-        match baseline.averages.get_mut(&comparison_key) {
-            Some(baseline_average) => {
-                let ratio = latency_sample.max(SAMPLE_MIN) / *baseline_average;
-                counts.add_latency_ratio(ratio);
-                if baseline.updates_baseline {
-                    // A geometric mean is less sensitive to single long delays.
-                    *baseline_average *= ratio.powf(BASELINE_WEIGHT);
-                }
-            }
-
-            None if baseline.updates_baseline => {
-                baseline.averages.insert(comparison_key, latency_sample.max(SAMPLE_MIN));
+        match baselines.entry(comparison_key) {
+            Entry::Occupied(mut known) => known.get_mut().observe(latency_sample),
+            Entry::Vacant(unknown) => {
+                unknown.insert(LatencyBaseline::new(latency_sample));
             }
-
-            None => {}
         }
     }
 
-    /// Returns the latency sample from which samples with a comparison key count as slow, in the
-    /// unit of these samples, if a roll-out is in progress and the baseline is known.
-    pub fn slow_sample_min(&self, pool: &str, comparison_key: u64) -> Option<f64> {
-        let rollout = self.by_service.get(pool).filter(|rollout| !rollout.has_ended())?;
-        rollout
-            .baseline_averages
-            .get(&comparison_key)
-            .map(|baseline_average| SLOW_SAMPLE_FACTOR * baseline_average)
-    }
-
-    /// Returns the baseline, and mutably the counts of a version on a route, which are inserted if
-    /// there are none. Returns `None` if no roll-out is in progress.
-    fn counts_mut(
-        &mut self,
-        pool: &str,
-        version: &str,
-        route: u64,
-    ) -> Option<(Baseline<'_>, &mut Counts)> {
+    /// Returns the counts of a version on a route, which are inserted if there are none. Returns
+    /// `None` if no roll-out is in progress.
+    fn counts_mut(&mut self, pool: &str, version: &str, route: u64) -> Option<&mut Counts> {
         let run_id = self.run_id;
         let rollout = self.by_service.get_mut(pool).filter(|rollout| !rollout.has_ended())?;
-        let is_new = rollout.spec.version == version;
         let tally = rollout.tallies.entry(TallyKey { run_id, route }).or_default();
-        let counts = if is_new { &mut tally.new } else { &mut tally.old };
-        Some((
-            Baseline { averages: &mut rollout.baseline_averages, updates_baseline: !is_new },
-            counts,
-        ))
+        Some(if rollout.spec.version == version { &mut tally.new } else { &mut tally.old })
     }
 
     /// Merges what another node reported of a roll-out.
--- a/crates/fescuelock-gateway/tests/rollout_fleet.rs
+++ b/crates/fescuelock-gateway/tests/rollout_fleet.rs
@@ -3,7 +3,7 @@
 
 use fescuelock_gateway::rollouts::{Rollouts, VersionChoice};
 use fescuelock_platform::rollout::{RolloutSpec, RolloutState};
-use fescuelock_policy::rollout::{ExposureLimit, exposed_upstreams};
+use fescuelock_policy::rollout::{EventIntervals, ExposureLimit, SampleKind, exposed_upstreams};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -126,18 +126,25 @@
     }
 }
 
-/// Records the interval of a stream as [`fescuelock_gateway::relay`] does.
+/// Records the interval of a stream.
 fn record_interval(rollouts: &mut Rollouts, version: &str, route: u64, key: u64, gaps_ms: &[f64]) {
-    let slow_ms = rollouts.slow_sample_min(POOL, key).unwrap_or(f64::INFINITY);
-    let (mut elapsed_ms, mut events) = (0.0, 0.0);
+    let mut intervals = EventIntervals::default();
+    let mut now_ms = 0.0;
+    let mut sample = None;
     for gap_ms in gaps_ms {
-        elapsed_ms += gap_ms;
-        events += 1.0;
-        if events >= 6.0 || elapsed_ms > slow_ms * 6.0 {
-            break;
-        }
+        now_ms += gap_ms;
+        sample = sample.or(intervals.record(1, now_ms));
+    }
+    if let Some(shortest_ms) = sample.or_else(|| intervals.finish()) {
+        rollouts.record_latency_sample(
+            POOL,
+            version,
+            route,
+            SampleKind::Interval,
+            key,
+            shortest_ms,
+        );
     }
-    rollouts.record_latency_sample(POOL, version, route, key, elapsed_ms / events);
 }
 
 /// Simulates a roll-out and returns its final state, or `None` if it has none in time.
@@ -206,7 +213,7 @@
         node.record_send(POOL, version, route);
         node.record_answer(POOL, version, route, false);
         let percent = upstream.first_event_percent(now_ms, slowdown, &mut rng);
-        node.record_latency_sample(POOL, version, route, 100 + key, percent);
+        node.record_latency_sample(POOL, version, route, SampleKind::Response, 100 + key, percent);
         let gaps_ms = upstream.gaps_ms(now_ms, slowdown, &mut rng);
         record_interval(node, version, route, key, &gaps_ms);
     }
--- a/crates/fescuelock-policy/src/rollout.rs
+++ b/crates/fescuelock-policy/src/rollout.rs
@@ -129,10 +129,6 @@
     }
 }
 
-/// Load of an upstream of the new version before [`Stage::Full`], relative to one of the old version.
-/// Its prefix cache is still empty, so equal traffic would be more work.
-const EXPOSED_LOAD_SHARE: f64 = 0.7;
-
 /// Returns the number of the new version's upstreams that get requests while the version takes a
 /// share of the sessions, beside `old_upstreams` upstreams of the old version.
 pub fn exposed_upstreams(share: f64, old_upstreams: usize, new_upstreams: usize) -> usize {
@@ -140,7 +136,7 @@
         return new_upstreams;
     }
     let for_equal_load = share / (1.0 - share) * old_upstreams as f64;
-    ((for_equal_load / EXPOSED_LOAD_SHARE).ceil() as usize).clamp(1, new_upstreams.max(1))
+    (for_equal_load.ceil() as usize).clamp(1, new_upstreams.max(1))
 }
 
 /// Returns whether the exposure limit would hold if the version took all requests from now on and
@@ -180,13 +176,44 @@
     /// of an answer divided by the baseline of the same route and model. `LOG_LATENCY_RATIO_MIN`
     /// is subtracted from each logarithm, so that the sum only grows.
     pub log_latency_ratios: u32,
-    /// Latency samples of which the ratio is at least [`SLOW_RATIO`].
+    /// Latency samples of which the ratio is at least that of slow samples of their kind.
     pub slow_samples: u32,
 }
 
-/// Latency ratio from which a sample counts as slow. Bad versions are several times slower on a part
-/// of their answers, which a mean over all answers may hide.
-const SLOW_RATIO: f64 = 2.0;
+/// `SampleKind` is the kind of a latency sample.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SampleKind {
+    /// Time to the response, or to the first event of a stream.
+    Response,
+    /// Shortest interval between the events of a stream.
+    Interval,
+}
+
+/// Number of bits by which the hash of a route is rotated for the tally of its intervals.
+const INTERVAL_HASH_ROTATION: u32 = 29;
+
+impl SampleKind {
+    /// Returns the latency ratio from which a sample counts as slow. Bad versions are several times
+    /// slower on a part of their answers, which a mean over all answers may hide.
+    ///
+    /// Streams share the steps of an engine, so that a version that is slow on a part of its answers
+    /// slows all of them, less than twice. Intervals vary less than the time to a response.
+    fn slow_ratio(self) -> f64 {
+        match self {
+            SampleKind::Response => 2.0,
+            SampleKind::Interval => 1.5,
+        }
+    }
+
+    /// Returns the key of the tally that counts samples of a route. Kinds of unlike noise are
+    /// compared apart.
+    pub fn tally_key(self, route: u64) -> u64 {
+        match self {
+            SampleKind::Response => route,
+            SampleKind::Interval => route.rotate_left(INTERVAL_HASH_ROTATION),
+        }
+    }
+}
 
 /// Lower limit of the logarithm of a latency ratio; the upper limit is its negative. Ratios below
 /// 1/20 or above 20 add no information.
@@ -197,11 +224,11 @@
 
 impl Counts {
     /// Adds a latency sample, relative to the baseline of the same route and model.
-    pub fn add_latency_ratio(&mut self, ratio: f64) {
+    pub fn add_latency_ratio(&mut self, kind: SampleKind, ratio: f64) {
         let log_latency_ratio =
             ratio.max(f64::MIN_POSITIVE).ln().clamp(LOG_LATENCY_RATIO_MIN, -LOG_LATENCY_RATIO_MIN);
         self.latency_samples += 1;
-        self.slow_samples += u32::from(ratio >= SLOW_RATIO);
+        self.slow_samples += u32::from(ratio >= kind.slow_ratio());
         self.log_latency_ratios +=
             ((log_latency_ratio - LOG_LATENCY_RATIO_MIN) * LOG_LATENCY_RATIO_SCALE).round() as u32;
     }
@@ -234,6 +261,92 @@
 /// Smallest denominator of the failure share and of the mean log latency ratio of the old version.
 const BASELINE_ANSWERS_MIN: u32 = 20;
 
+/// Weight of a sample in a baseline after many samples, as the relative size of a step.
+const BASELINE_STEP_MIN: f64 = 0.05;
+
+/// Lower bound on latency samples, in the sample's unit.
+const SAMPLE_MIN: f64 = 0.5;
+
+/// `LatencyBaseline` is the running median of latency samples. Unlike a mean, it does not depend on how
+/// long the delayed ones of them take.
+#[derive(Debug, Clone, Copy)]
+pub struct LatencyBaseline {
+    log_median: f64,
+    samples: u32,
+}
+
+impl LatencyBaseline {
+    /// Builds a baseline from its first sample.
+    pub fn new(sample: f64) -> Self {
+        LatencyBaseline { log_median: sample.max(SAMPLE_MIN).ln(), samples: 1 }
+    }
+
+    /// Returns a sample relative to the median.
+    pub fn ratio(self, sample: f64) -> f64 {
+        sample.max(SAMPLE_MIN) / self.log_median.exp()
+    }
+
+    /// Moves the median towards a sample, by smaller steps the more samples it is based on.
+    pub fn observe(&mut self, sample: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let step = (1.0 / f64::from(self.samples)).max(BASELINE_STEP_MIN);
+        self.log_median += self.ratio(sample).ln().clamp(-step, step);
+    }
+}
+
+/// Number of events over which the interval between the events of a stream is measured: enough that a
+/// few delays do not decide it, and few enough to detect a slow version within seconds.
+const INTERVAL_EVENTS: u64 = 6;
+
+/// Fewest intervals of a stream that are measured.
+const INTERVALS_MIN: u64 = 3;
+
+/// `EventIntervals` measures the shortest interval between the first events of a stream.
+///
+/// An interval is the time of a step of the model plus the prefills of other requests and the silences
+/// of the upstream. Of a few intervals the shortest seldom holds any of these, while a slow version
+/// makes all of them longer.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EventIntervals {
+    events: u64,
+    last_event_ms: f64,
+    intervals: u64,
+    shortest_ms: f64,
+    is_recorded: bool,
+}
+
+impl EventIntervals {
+    /// Adds events that have come together, `now_ms` milliseconds after any fixed time.
+    ///
+    /// Returns the shortest interval in milliseconds, once, after enough events.
+    pub fn record(&mut self, events: u64, now_ms: f64) -> Option<f64> {
+        if events == 0 || self.is_recorded {
+            return None;
+        }
+        // The first events come with the head of the response, so nothing is known of the time that
+        // they took. Events that come together share the time since the one before.
+        if self.events > 0 {
+            let interval_ms = (now_ms - self.last_event_ms) / events as f64;
+            self.shortest_ms = match self.intervals {
+                0 => interval_ms,
+                _ => self.shortest_ms.min(interval_ms),
+            };
+            self.intervals += events;
+        }
+        self.events += events;
+        self.last_event_ms = now_ms;
+        if self.events > INTERVAL_EVENTS { self.finish() } else { None }
+    }
+
+    /// Returns the shortest interval of a stream that ends, in milliseconds, unless it has been
+    /// returned before or the stream is too short.
+    pub fn finish(&mut self) -> Option<f64> {
+        let is_measured = !self.is_recorded && self.intervals >= INTERVALS_MIN;
+        self.is_recorded |= is_measured;
+        is_measured.then_some(self.shortest_ms)
+    }
+}
+
 /// `Tally` holds the counts of the old and the new version on one route.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Tally {
--- a/crates/fescuelock-policy/tests/rollout.rs
+++ b/crates/fescuelock-policy/tests/rollout.rs
@@ -1,7 +1,8 @@
 //! Detection of bad versions, and the limit on the requests to an unproven version.
 
 use fescuelock_policy::rollout::{
-    Evidence, ExposureLimit, RolloutProgress, Stage, Tally, exposed_upstreams, may_complete,
+    EventIntervals, Evidence, ExposureLimit, LatencyBaseline, RolloutProgress, SampleKind, Stage,
+    Tally, exposed_upstreams, may_complete,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -106,10 +107,13 @@
             true => {
                 let is_slow = rng.random_range(0.0..1.0) < version.slow_portion;
                 let ratio = if is_slow { version.latency_ratio } else { 1.0 };
-                counts.add_latency_ratio(ratio * load_ratio(version, stage) * latency_noise.exp());
+                counts.add_latency_ratio(
+                    SampleKind::Response,
+                    ratio * load_ratio(version, stage) * latency_noise.exp(),
+                );
             }
             false if rng.random_range(0.0..1.0) < 0.01 => counts.failures += 1,
-            false => counts.add_latency_ratio(latency_noise.exp()),
+            false => counts.add_latency_ratio(SampleKind::Response, latency_noise.exp()),
         }
         // Counts of the other nodes arrive about every 350 ms.
         if requests % 20 == 0 {
@@ -225,3 +229,31 @@
     assert!(!may_complete(&RolloutProgress { score: 5.0, ..progress }));
     assert!(!may_complete(&RolloutProgress { elapsed: 0.9, ..progress }));
 }
+
+/// A stall or a silence of an upstream is not slowness of its version, and events that come together
+/// with the head of the response have no interval.
+#[test]
+fn stalls_counted_as_slow() {
+    let mut intervals = EventIntervals::default();
+    assert_eq!(intervals.record(2, 0.1), None);
+    for now_ms in [1_013.1, 1_026.1, 1_126.1, 1_226.1] {
+        assert_eq!(intervals.record(1, now_ms), None);
+    }
+    let shortest_ms = intervals.record(1, 1_326.1).expect("enough events");
+    assert!((shortest_ms - 13.0).abs() < 1e-6, "{shortest_ms} ms");
+    assert_eq!(intervals.record(1, 1_426.1).or(intervals.finish()), None, "measured twice");
+    let mut single_event = EventIntervals::default();
+    assert_eq!(single_event.record(1, 0.1), None);
+    assert_eq!(single_event.finish(), None);
+}
+
+/// The first sample of a baseline may be a delayed one.
+#[test]
+fn baseline_of_one_sample() {
+    let mut baseline = LatencyBaseline::new(100.0);
+    for index in 0..60 {
+        // One sample in five is delayed.
+        baseline.observe(if index % 5 == 0 { 90.0 } else { 13.0 });
+    }
+    assert!((0.8..1.2).contains(&baseline.ratio(13.0)), "{baseline:?}");
+}
