policy: Count correlated samples of an upstream as fewer

Samples now weigh the less the more there are per exposed upstream (the variance of a cluster's mean with correlation 0.05).

--- a/crates/fescuelock-gateway/src/rollouts.rs
+++ b/crates/fescuelock-gateway/src/rollouts.rs
@@ -314,7 +314,7 @@
     }
 
     /// Evaluates the counts of all nodes and advances the stage, unless the roll-out has ended.
-    fn evaluate(&mut self, bound: &ExposureLimit, now_ms: u64) {
+    fn evaluate(&mut self, exposed_upstreams: usize, bound: &ExposureLimit, now_ms: u64) {
         if self.has_ended() {
             return;
         }
@@ -324,7 +324,7 @@
             *sum = sum.plus(*tally);
         }
         for (route, tally) in routes {
-            self.evidence.update(route, tally);
+            self.evidence.update(route, tally, exposed_upstreams);
         }
         self.is_rejected |= self.evidence.is_bad();
         let progress = self.evidence.progress(self.elapsed_share(now_ms));
@@ -400,8 +400,9 @@
     ) -> Vec<PendingStateWrite> {
         let mut pending_writes = Vec::new();
         for rollout in self.by_service.values_mut() {
-            rollout.evaluate(bound, now_ms);
             let (new_ready, old_ready) = count_ready(&rollout.spec.pool, &rollout.spec.version);
+            let exposed = rollout::exposed_upstreams(rollout.stage.share(), old_ready, new_ready);
+            rollout.evaluate(exposed, bound, now_ms);
             let Some(state) = rollout.required_state(new_ready, old_ready, now_ms) else {
                 rollout.pending_state = None;
                 continue;
--- a/crates/fescuelock-policy/src/rollout.rs
+++ b/crates/fescuelock-policy/src/rollout.rs
@@ -410,6 +410,10 @@
 /// other requests double the latency of many streams.
 const LOG_LATENCY_RATIO_STDDEV: f64 = 1.1;
 
+/// Correlation of the latency samples of one upstream. Upstreams differ in speed, and one that stalls
+/// or prefills long prompts delays all of its streams.
+const UPSTREAM_CORRELATION: f64 = 0.05;
+
 /// Score from which a version neither takes all sessions nor is declared complete: with few
 /// answers, a bad version may not have reached [`SCORE_BAD`].
 const SCORE_INCONCLUSIVE: f64 = 3.5;
@@ -436,24 +440,32 @@
         answers: u32,
         failed: u32,
         old_failure_share: f64,
+        weight: f64,
     ) {
         let good = old_failure_share.max(hypothesis.baseline_min);
         let bad = (good + hypothesis.excess).min(0.99);
         let per_failure = (bad / good).ln();
         let per_success = ((1.0 - bad) / (1.0 - good)).ln();
         let successes = f64::from(answers.saturating_sub(failed));
-        let sum = self.score + f64::from(failed) * per_failure + successes * per_success;
+        let added = f64::from(failed) * per_failure + successes * per_success;
         // The sum is clamped at 0, so that a version that turns bad late is detected as quickly.
-        self.score = sum.max(0.0);
+        self.score = (self.score + weight * added).max(0.0);
     }
 
     /// Adds latency samples by the sum of the logarithms of their ratios, and compares them with
     /// the mean logarithm of the old version.
-    fn add_latency_ratios(&mut self, samples: u32, log_latency_ratio_sum: f64, old_mean: f64) {
-        let weight = SLOWDOWN_LOG_THRESHOLD / (LOG_LATENCY_RATIO_STDDEV * LOG_LATENCY_RATIO_STDDEV);
+    fn add_latency_ratios(
+        &mut self,
+        samples: u32,
+        log_latency_ratio_sum: f64,
+        old_mean: f64,
+        weight: f64,
+    ) {
+        let per_excess =
+            SLOWDOWN_LOG_THRESHOLD / (LOG_LATENCY_RATIO_STDDEV * LOG_LATENCY_RATIO_STDDEV);
         let excess =
             log_latency_ratio_sum - f64::from(samples) * (old_mean + SLOWDOWN_LOG_THRESHOLD / 2.0);
-        self.score = (self.score + weight * excess).max(0.0);
+        self.score = (self.score + weight * per_excess * excess).max(0.0);
     }
 
     fn is_bad(self) -> bool {
@@ -472,8 +484,10 @@
 }
 
 impl Evidence {
-    /// Updates the pooled counts of a route. Counts only grow.
-    pub fn update(&mut self, route: u64, tally: Tally) {
+    /// Updates the pooled counts of a route. Counts only grow. `upstreams` is the number of the
+    /// version's upstreams that get requests.
+    pub fn update(&mut self, route: u64, tally: Tally, upstreams: usize) {
+        let weight = self.latency_weight(upstreams);
         let earlier = self.tallies.insert(route, tally).unwrap_or_default();
         let added = tally.since(earlier);
         let old_failure_share = Counts::failure_share(tally.old.failures, tally.old.answers);
@@ -483,12 +497,14 @@
             added.new.answers,
             added.new.failures,
             old_failure_share,
+            1.0,
         );
         self.pooled_failures.add_failures(
             FAILURE_HYPOTHESIS,
             added.new.answers,
             added.new.failures,
             old_failure_share,
+            1.0,
         );
         let old_slow_share =
             Counts::failure_share(tally.old.slow_samples, tally.old.latency_samples);
@@ -497,6 +513,7 @@
             added.new.latency_samples,
             added.new.slow_samples,
             old_slow_share.min(OLD_SLOW_SHARE_MAX),
+            weight,
         );
         let old_samples = f64::from(tally.old.latency_samples.max(BASELINE_ANSWERS_MIN));
         // Slow upstreams of the old version must not hide a slow new version.
@@ -507,9 +524,18 @@
             added.new.latency_samples,
             added.new.log_latency_ratio_sum(),
             old_mean,
+            weight,
         );
     }
 
+    /// Returns the weight of a latency sample relative to an independent one, by the number of
+    /// samples per upstream.
+    fn latency_weight(&self, upstreams: usize) -> f64 {
+        let samples = self.tallies.values().map(|tally| tally.new.latency_samples).sum::<u32>();
+        let per_upstream = f64::from(samples) / upstreams.max(1) as f64;
+        1.0 / (1.0 + UPSTREAM_CORRELATION * (per_upstream - 1.0).max(0.0))
+    }
+
     /// Returns whether the evidence shows that the version is bad.
     pub fn is_bad(&self) -> bool {
         self.failures.values().chain(self.latency.values()).any(|test| test.is_bad())
--- a/crates/fescuelock-policy/tests/rollout.rs
+++ b/crates/fescuelock-policy/tests/rollout.rs
@@ -118,7 +118,11 @@
         // Counts of the other nodes arrive about every 350 ms.
         if requests % 20 == 0 {
             for (route, tally) in tallies.iter().enumerate() {
-                evidence.update(route as u64, *tally);
+                evidence.update(
+                    route as u64,
+                    *tally,
+                    exposed_upstreams(stage.share(), UPSTREAMS, UPSTREAMS),
+                );
             }
             let progress = evidence.progress(now_s / duration_s);
             stage = stage.max(Stage::permitted(&progress, &LIMIT));
