gateway: Stop only after the responses have been written

Callers that were still reading a response when the node stopped got its beginning and then the end of the connection: a request is in flight only until its response begins to be written, and 200 ms after the last one was in flight all tasks were aborted.

The server now counts the connections on which a request has arrived. When the node stops, idle ones are closed, so that the count is that of responses that have not been written out. The node waits for them until its grace period is almost over.

--- a/crates/fescuelock-gateway/src/node.rs
+++ b/crates/fescuelock-gateway/src/node.rs
@@ -6,7 +6,7 @@
 
 use fescuelock_core::rules::ScoringWeights;
 use fescuelock_http::net::SharedNetwork;
-use fescuelock_http::server::{Handler, Server, ServerOptions, SharedOptions};
+use fescuelock_http::server::{BusyConnections, Handler, Server, ServerOptions, SharedOptions};
 use fescuelock_policy::node::NodeSettings;
 use fescuelock_store::Error as StoreError;
 use fescuelock_store::resources::{Collection, SharedResources};
@@ -85,6 +85,8 @@
     node_state: Arc<NodeState>,
     stop_accepting: CancellationToken,
     stop_readiness: CancellationToken,
+    /// Connections of callers on which a request has arrived.
+    busy: BusyConnections,
 }
 
 impl Node {
@@ -111,22 +113,26 @@
             node_state: Arc::clone(&node_state),
             stop_accepting: CancellationToken::new(),
             stop_readiness: CancellationToken::new(),
+            busy: BusyConnections::default(),
         };
         let settings = &node_state.settings;
         let handler = Arc::new(GatewayHandler { node_state: Arc::clone(&node_state) });
         let caller_options = Arc::clone(&node_state.callers_options);
         let stop = node.stop_accepting.clone();
-        node.listen(&settings.callers_address, handler, caller_options, stop).await?;
+        let busy = node.busy.clone();
+        node.listen(&settings.callers_address, handler, caller_options, stop, busy).await?;
         let readiness = Arc::new(ReadinessHandler { node_state: Arc::clone(&node_state) });
         let stop = node.stop_readiness.clone();
         let readiness_options =
             ServerOptions { header_timeout_ms: READINESS_IDLE_MS, ..ServerOptions::default() }
                 .shared();
         let address = &settings.readiness_address;
-        node.listen(address, Arc::clone(&readiness), Arc::clone(&readiness_options), stop.clone())
-            .await?;
+        let (handler, uncounted) = (Arc::clone(&readiness), BusyConnections::default());
+        let server_options = Arc::clone(&readiness_options);
+        node.listen(address, handler, server_options, stop.clone(), uncounted.clone()).await?;
         if let Some(address) = &options.metrics_address
-            && let Err(error) = node.listen(address, readiness, readiness_options, stop).await
+            && let Err(error) =
+                node.listen(address, readiness, readiness_options, stop, uncounted).await
         {
             warn!(node_state.logger,
                 "cannot listen on the metrics address, metrics are on the readiness address only";
@@ -171,7 +177,8 @@
         let mut idle_since = Instant::now();
         while idle_since.elapsed() < Duration::from_millis(DRAIN_IDLE_MS) && Instant::now() < end {
             sleep(Duration::from_millis(DRAIN_CHECK_INTERVAL_MS)).await;
-            if in_flight.load(Ordering::Relaxed) > 0 {
+            // A request is no longer in flight once its response has begun to be written.
+            if in_flight.load(Ordering::Relaxed) > 0 || self.busy.count() > 0 {
                 idle_since = Instant::now();
             }
         }
@@ -189,12 +196,13 @@
         handler: Arc<impl Handler>,
         options: SharedOptions,
         stop: CancellationToken,
+        busy: BusyConnections,
     ) -> Result<()> {
         let listener = self.node_state.network.listen(address).await;
         let listener =
             listener.map_err(|source| Error::Listen { address: address.to_owned(), source })?;
         let server = Server { options, tasks: self.node_state.tasks.clone(), stop };
-        self.node_state.tasks.spawn(server.run(listener, handler));
+        self.node_state.tasks.spawn(server.run_counted(listener, handler, busy));
         Ok(())
     }
 
--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -4,7 +4,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -93,9 +93,57 @@
     pub stop: CancellationToken,
 }
 
+/// `BusyConnections` counts the HTTP/1.1 connections of a server on which a request has arrived.
+///
+/// A stopping server closes those that are idle. Then the count is that of the connections whose
+/// last response has not been written to its end.
+#[derive(Debug, Clone, Default)]
+pub struct BusyConnections {
+    count: Arc<AtomicU64>,
+}
+
+impl BusyConnections {
+    /// Returns the number of connections.
+    pub fn count(&self) -> u64 {
+        self.count.load(Ordering::Relaxed)
+    }
+}
+
+/// `BusyGuard` counts its connection as busy from its first request until it is dropped.
+struct BusyGuard {
+    connections: BusyConnections,
+    is_busy: AtomicBool,
+}
+
+impl BusyGuard {
+    fn begin(&self) {
+        if !self.is_busy.swap(true, Ordering::Relaxed) {
+            self.connections.count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        if *self.is_busy.get_mut() {
+            self.connections.count.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
 impl Server {
     /// Accepts connections and serves each in its own task.
     pub async fn run(self, listener: Box<dyn Listener>, handler: Arc<impl Handler>) {
+        self.run_counted(listener, handler, BusyConnections::default()).await;
+    }
+
+    /// Accepts connections like [`Server::run`], and counts those on which a request has arrived.
+    pub async fn run_counted(
+        self,
+        listener: Box<dyn Listener>,
+        handler: Arc<impl Handler>,
+        busy: BusyConnections,
+    ) {
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -103,21 +151,31 @@
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok(io) => self.tasks.spawn(self.clone().serve(io, Arc::clone(&handler))),
+                Ok(io) => {
+                    let serving = self.clone().serve(io, Arc::clone(&handler), busy.clone());
+                    self.tasks.spawn(serving);
+                }
                 Err(_) => tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await,
             }
         }
     }
 
-    async fn serve(self, io: BoxIo, handler: Arc<impl Handler>) {
+    async fn serve(self, io: BoxIo, handler: Arc<impl Handler>, busy: BusyConnections) {
         let options = self.options.load_full();
         match options.version {
-            HttpVersion::Http1 => self.serve_http1(io, handler, options).await,
+            HttpVersion::Http1 => self.serve_http1(io, handler, options, busy).await,
             HttpVersion::Http2 => self.serve_http2(io, handler).await,
         }
     }
 
-    async fn serve_http1(self, io: BoxIo, handler: Arc<impl Handler>, options: Arc<ServerOptions>) {
+    async fn serve_http1(
+        self,
+        io: BoxIo,
+        handler: Arc<impl Handler>,
+        options: Arc<ServerOptions>,
+        busy: BusyConnections,
+    ) {
+        let busy_guard = Arc::new(BusyGuard { connections: busy, is_busy: AtomicBool::new(false) });
         let has_unread_data = Arc::new(AtomicBool::new(false));
         let mut builder = http1::Builder::new();
         builder
@@ -131,6 +189,7 @@
             options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&has_unread_data),
+            busy_guard: Arc::clone(&busy_guard),
         };
         let service = service_fn(move |request| Box::pin(exchange.clone().respond(request)));
         let mut connection = builder.serve_connection(TokioIo::new(io), service);
@@ -157,6 +216,7 @@
             // The peer is gone if this fails.
             let _ = io.shutdown().await;
         }
+        drop(busy_guard);
     }
 
     async fn serve_http2(self, io: BoxIo, handler: Arc<impl Handler>) {
@@ -212,6 +272,7 @@
     stop: CancellationToken,
     /// Set when a response closes the connection before its request has been read.
     has_unread_data: Arc<AtomicBool>,
+    busy_guard: Arc<BusyGuard>,
 }
 
 impl<H> Clone for Exchange<H> {
@@ -222,6 +283,7 @@
             options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&self.has_unread_data),
+            busy_guard: Arc::clone(&self.busy_guard),
         }
     }
 }
@@ -229,6 +291,7 @@
 impl<H: Handler> Exchange<H> {
     /// Handles one request. What the handler leaves unread of its body is discarded.
     async fn respond(self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        self.busy_guard.begin();
         let options = self.options.load_full();
         let unread = UnreadSlot::default();
         let expects_continue = request.headers().contains_key(header::EXPECT);
