http: Read a refused request on when the server stops

Callers that were still sending a request that had been refused got a broken pipe when the server stopped, if the refusal closed the connection: the stop ends such a connection at once, and what was unread reset it. The refusal may be lost with that.

A connection whose request is still being discarded is now closed in order, like one with a body that is too large to be discarded.

stop_before_discard_ends in unread_bodies.rs, failed before with "Broken pipe".

--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -177,6 +177,7 @@
     ) {
         let busy_guard = Arc::new(BusyGuard { connections: busy, is_busy: AtomicBool::new(false) });
         let has_unread_data = Arc::new(AtomicBool::new(false));
+        let pending_discards = Arc::new(AtomicU64::new(0));
         let mut builder = http1::Builder::new();
         builder
             .timer(HeaderTimer { options: Arc::clone(&self.options) })
@@ -189,6 +190,7 @@
             options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&has_unread_data),
+            pending_discards: Arc::clone(&pending_discards),
             busy_guard: Arc::clone(&busy_guard),
         };
         let service = service_fn(move |request| Box::pin(exchange.clone().respond(request)));
@@ -208,8 +210,11 @@
         .await;
         // A request head that could not be parsed has been answered, but not read to its end.
         let has_rejected_head = ended.is_err_and(|error| error.is_parse());
+        // A stop also ends connections whose request is still being read.
+        let is_discarding = pending_discards.load(Ordering::Relaxed) > 0;
+        let has_unread_data = is_discarding || has_unread_data.load(Ordering::Relaxed);
         let mut io = connection.into_parts().io.into_inner();
-        if has_rejected_head || has_unread_data.load(Ordering::Relaxed) {
+        if has_rejected_head || has_unread_data {
             let options = self.options.load_full();
             discard::close_in_order(io, &options.discard, &self.stop).await;
         } else {
@@ -272,6 +277,8 @@
     stop: CancellationToken,
     /// Set when a response closes the connection before its request has been read.
     has_unread_data: Arc<AtomicBool>,
+    /// Number of request bodies that are being discarded, while the connection stays open.
+    pending_discards: Arc<AtomicU64>,
     busy_guard: Arc<BusyGuard>,
 }
 
@@ -283,6 +290,7 @@
             options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&self.has_unread_data),
+            pending_discards: Arc::clone(&self.pending_discards),
             busy_guard: Arc::clone(&self.busy_guard),
         }
     }
@@ -308,8 +316,11 @@
 
             Some(body) if may_keep_alive(&body, expects_continue, &options.discard) => {
                 let stop = self.stop;
+                let discards = self.pending_discards;
+                discards.fetch_add(1, Ordering::Relaxed);
                 self.tasks.spawn(async move {
                     discard::discard_body(body.incoming, &options.discard, &stop).await;
+                    discards.fetch_sub(1, Ordering::Relaxed);
                 });
             }
 
--- a/crates/fescuelock-http/tests/unread_bodies.rs
+++ b/crates/fescuelock-http/tests/unread_bodies.rs
@@ -331,3 +331,20 @@
     let grown_kib = peak_kib.saturating_sub(before_kib);
     assert!(grown_kib < 32 << 10, "memory grew by {grown_kib} KiB");
 }
+
+/// A refusal was overtaken because the server stopped while it read the rest of the request.
+#[tokio::test]
+async fn stop_before_discard_ends() {
+    let server = TestServer::start(ServerOptions::default()).await;
+    let mut stream = server.connect().await;
+    let framing = "content-length: 20000\r\nconnection: close";
+    stream.write_all(head("/unread", framing).as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    stream.write_all(&[b'x'; 2_000]).await.unwrap();
+    server.stop.cancel();
+    for _ in 1..10 {
+        sleep(Duration::from_millis(20)).await;
+        stream.write_all(&[b'x'; 2_000]).await.expect("the server reads on");
+    }
+    assert!(read_response(&mut stream).await.unwrap().starts_with("HTTP/1.1 401"));
+}
