router: Drain until no request has come for a while

Callers whose request was arriving when a draining node began to close its connections got no answer, though an engine was at work on it: the node ended as soon as no request was in flight, and requests that came while it wrote claims and bills were not waited for.

The node now waits until there has been no request for 200 ms, as the gateway does, and no response is being written. It does so again after claims and bills have been written.

late_head_cut in shutdown.rs, failed before: the connection closed without a response.

--- a/crates/fescuelock-load/tests/shutdown.rs
+++ b/crates/fescuelock-load/tests/shutdown.rs
@@ -5,14 +5,17 @@
 use std::time::Duration;
 
 use common::TestCluster;
+use fescuelock_http::net::Network;
 use fescuelock_load::caller::{ChatRequest, ServiceCall};
 use fescuelock_load::cluster::ClusterOptions;
-use fescuelock_load::samples::{CHEAP_TEAM, GOOD_TEAM};
+use fescuelock_load::samples::{CHEAP_TEAM, GOOD_TEAM, api_key_of};
 use fescuelock_router::node::DrainOutcome;
 use fescuelock_standin::deployment::DeploymentOptions;
 use fescuelock_standin::engine::EngineOptions;
 use fescuelock_standin::faults::{EngineFaults, PlatformFaults};
 use fescuelock_store::bills::read_ledger;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::sleep;
 
 /// Starts a deployment whose engines take one second per token.
@@ -130,3 +133,36 @@
         read_ledger(test_cluster.cluster.store.as_ref()).await.expect("the bills are read");
     assert_eq!(ledger.bills.len(), 1);
 }
+
+/// A request whose head was partly received when connections began to close was cut while an engine
+/// was at work on it.
+#[tokio::test(start_paused = true)]
+async fn late_head_cut() {
+    let mut test_cluster = slow_cluster().await;
+    let node = test_cluster.cluster.remove_node(0).expect("the node runs");
+    let address = node.callers_address().to_owned();
+    let mut connection = test_cluster.network.connect(&address).await.expect("the node listens");
+    let draining = tokio::spawn(node.drain().finish());
+    // The node stops accepting connections and starts to close them after 100 ms.
+    sleep(Duration::from_millis(90)).await;
+    let body = json!({
+        "model": "auto", "max_tokens": 3, "messages": [{ "role": "user", "content": "late" }],
+    });
+    let body = body.to_string();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n",
+        api_key_of(CHEAP_TEAM),
+        body.len()
+    );
+    connection.write_all(head.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(20)).await;
+    connection.write_all(format!("\r\n{body}").as_bytes()).await.unwrap();
+    let mut response = Vec::new();
+    connection.read_to_end(&mut response).await.unwrap();
+    let response = String::from_utf8_lossy(&response);
+    assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+    assert_eq!(test_cluster.engine_runs().len(), 1);
+    let drained = draining.await.expect("the drain ends");
+    assert_eq!(drained, DrainOutcome { requests_cut: 0, bills_lost: 0 });
+}
--- a/crates/fescuelock-router/src/node.rs
+++ b/crates/fescuelock-router/src/node.rs
@@ -13,7 +13,7 @@
 use fescuelock_core::ids::Generation;
 use fescuelock_core::tasks::TaskGroup;
 use fescuelock_http::net::{Listener, SharedNetwork};
-use fescuelock_http::server::{Server, ServerOptions};
+use fescuelock_http::server::{BusyConnections, Server, ServerOptions};
 use fescuelock_nodes::mesh::{Mesh, MeshOptions};
 use fescuelock_operators::admin::{AdminHandler, NodeStatus, StatusSource, resident_kib};
 use fescuelock_store::bills::{
@@ -29,7 +29,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::handler::RequestHandler;
@@ -78,6 +78,8 @@
     stop_callers: CancellationToken,
     stop_operators: CancellationToken,
     in_flight: Arc<AtomicU64>,
+    /// Connections of callers on which a request has arrived.
+    busy: BusyConnections,
     is_draining: AtomicBool,
     logger: Logger,
     clock: Clock,
@@ -169,6 +171,7 @@
             stop_callers: CancellationToken::new(),
             stop_operators: CancellationToken::new(),
             in_flight: Arc::default(),
+            busy: BusyConnections::default(),
             is_draining: AtomicBool::new(false),
             logger,
             clock,
@@ -179,6 +182,24 @@
     }
 }
 
+impl Shared {
+    /// Returns whether a request is in flight or its response is still being written.
+    fn is_busy(&self) -> bool {
+        self.in_flight.load(Ordering::Relaxed) > 0 || self.busy.count() > 0
+    }
+
+    /// Waits until there has been no request for some time, since heads may still be arriving.
+    async fn wait_until_idle(&self) {
+        let mut idle_since = Instant::now();
+        while idle_since.elapsed() < Duration::from_millis(DRAIN_IDLE_MS) {
+            sleep(Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
+            if self.is_busy() {
+                idle_since = Instant::now();
+            }
+        }
+    }
+}
+
 /// `DrainOutcome` is the result of draining a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainOutcome {
@@ -235,13 +256,17 @@
         shared.stop_callers.cancel();
         let drain_timeout = Duration::from_millis(options.drain_ms);
         let drained = timeout(drain_timeout, async {
-            while shared.in_flight.load(Ordering::Relaxed) > 0 {
-                sleep(Duration::from_millis(DRAIN_POLL_INTERVAL_MS)).await;
-            }
+            shared.wait_until_idle().await;
             shared.claims.flush().await;
             // Bills held for other nodes would be lost when this node exits.
             shared.mesh.leave().into_iter().for_each(|bill| shared.bills.record(bill));
             shared.bills.flush().await;
+            // The platform may have been slow, and requests may have arrived in the meantime.
+            while shared.is_busy() {
+                shared.wait_until_idle().await;
+                shared.claims.flush().await;
+                shared.bills.flush().await;
+            }
         });
         let timed_out = drained.await.is_err();
         let outcome = DrainOutcome {
@@ -264,6 +289,10 @@
 /// Interval at which a draining node polls its number of requests in flight, in milliseconds.
 const DRAIN_POLL_INTERVAL_MS: u64 = 20;
 
+/// Time without any request after which a draining node counts as drained, in milliseconds. A
+/// request head may still take some round trips to arrive.
+const DRAIN_IDLE_MS: u64 = 200;
+
 impl<S> Node<S> {
     /// Returns the address that callers connect to.
     pub fn callers_address(&self) -> &str {
@@ -384,7 +413,8 @@
         tasks: shared.tasks.clone(),
         stop: shared.stop_callers.clone(),
     };
-    shared.tasks.spawn(server.run(listener, Arc::new(handler)));
+    let busy = shared.busy.clone();
+    shared.tasks.spawn(server.run_counted(listener, Arc::new(handler), busy));
 }
 
 /// Starts the server for operators.
