gateway: Answer what is in flight at the end of the grace period

Callers whose request was still waiting when a stopping node reached the end of its grace period got a closed connection in place of an answer.

Their requests now end with 504, since an upstream may run them, and those that wait for an upstream with capacity and were not sent with 503.

unanswered_at_end in shutdown.rs, failed before with an empty response. It covers a request at an engine; the one of a queued request has no test.

--- a/crates/fescuelock-gateway/src/handler.rs
+++ b/crates/fescuelock-gateway/src/handler.rs
@@ -179,9 +179,19 @@
     ) -> BoxFuture<'static, Response<Body>> {
         Box::pin(async move {
             let id = request.headers().get(protocol::REQUEST_ID).cloned();
-            let handled = panics::catch(handle_request(&self.node_state, request)).await;
+            let handling = panics::catch(handle_request(&self.node_state, request));
+            let handled = tokio::select! {
+                biased;
+                handled = handling => handled.map_err(|panic| {
+                    error!(self.node_state.logger, "request handling panicked";
+                        "request" => id.as_ref().and_then(|id| id.to_str().ok()), "panic" => panic);
+                    self.node_state.counters.count(Counter::RequestsPanicked);
+                    UnknownCause::Internal
+                }),
+                () = self.node_state.grace_over.cancelled() => Err(UnknownCause::AnswerTimeout),
+            };
             let mut response = handled
-                .unwrap_or_else(|panic| respond_to_panic(&self.node_state, id.as_ref(), &panic));
+                .unwrap_or_else(|cause| respond_to_unknown(&self.node_state, id.as_ref(), cause));
             if self.node_state.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -191,17 +201,14 @@
     }
 }
 
-/// Builds the response to a request whose handling panicked. An upstream may have run it.
-fn respond_to_panic(
+/// Builds the response to a request whose handling ended early. An upstream may have run it.
+fn respond_to_unknown(
     node_state: &NodeState,
     id: Option<&HeaderValue>,
-    panic: &str,
+    cause: UnknownCause,
 ) -> Response<Body> {
     let id = id.and_then(|id| id.to_str().ok());
-    let cause = UnknownCause::Internal;
-    error!(node_state.logger, "request handling panicked"; "request" => id, "panic" => panic);
     node_state.metrics.count(LabelledCounter::Failures, &[("reason", cause.code())]);
-    node_state.counters.count(Counter::RequestsPanicked);
     node_state.counters.count(Counter::RequestsUnknown);
     error_response::build(id, &Outcome::Unknown(Unknown::after_send(cause)), None)
 }
--- a/crates/fescuelock-gateway/src/node.rs
+++ b/crates/fescuelock-gateway/src/node.rs
@@ -183,6 +183,7 @@
             }
         }
         let aborted = in_flight.load(Ordering::Relaxed);
+        self.node_state.grace_over.cancel();
         info!(self.node_state.logger, #TAG_LIFECYCLE, "stopped"; "cut" => aborted);
         // Leaves time to write the last responses and log lines.
         sleep(Duration::from_millis(DRAIN_CHECK_INTERVAL_MS)).await;
--- a/crates/fescuelock-gateway/src/node_state.rs
+++ b/crates/fescuelock-gateway/src/node_state.rs
@@ -57,6 +57,8 @@
     pub tasks: TaskGroup,
     /// Cancelled when the node starts to shut down.
     pub stopping: CancellationToken,
+    /// Cancelled when the grace period is almost over, to answer the requests still in flight.
+    pub grace_over: CancellationToken,
     /// Number of requests of all services and priorities that wait for an upstream with capacity.
     pub queued_requests: AtomicUsize,
     /// Number of requests in flight.
@@ -112,6 +114,7 @@
             log_buffer,
             tasks: TaskGroup::default(),
             stopping: CancellationToken::new(),
+            grace_over: CancellationToken::new(),
             queued_requests: AtomicUsize::new(0),
             in_flight: Arc::default(),
             failing_collections: AtomicUsize::new(0),
--- a/crates/fescuelock-gateway/src/queue.rs
+++ b/crates/fescuelock-gateway/src/queue.rs
@@ -41,7 +41,7 @@
         }
     };
     loop {
-        if ms_until(request.deadline) == 0 {
+        if ms_until(request.deadline) == 0 || node_state.grace_over.is_cancelled() {
             return Err(state.fail(Refusal::Overloaded, Some(retry_after_ms(node_state, request))));
         }
         let placement_request = build_placement_request(request, model, &allowed_regions, state);
@@ -91,7 +91,10 @@
                     trace.add("queued", format!("{context:?}"));
                     queued_guard = Some(QueuedGuard::start(node_state));
                 }
-                sleep(Duration::from_millis(PLACEMENT_RETRY_INTERVAL_MS)).await;
+                tokio::select! {
+                    () = sleep(Duration::from_millis(PLACEMENT_RETRY_INTERVAL_MS)) => {}
+                    () = node_state.grace_over.cancelled() => {}
+                }
                 waited_ms += PLACEMENT_RETRY_INTERVAL_MS as f64;
             }
 
