--- a/crates/fescuelock-gateway/src/queue.rs
+++ b/crates/fescuelock-gateway/src/queue.rs
@@ -41,7 +41,7 @@
         }
     };
     loop {
-        if ms_until(request.deadline) == 0 {
+        if ms_until(request.deadline) == 0 || node_state.grace_over.is_cancelled() {
             let paused_ms = paused_ms(node_state, request, model, state);
             let retry_after_ms = retry_after_ms(node_state, request, paused_ms);
             return Err(state.fail(Refusal::Overloaded, Some(retry_after_ms)));
@@ -103,7 +103,10 @@
                     trace.add("queued", format!("{context:?}"));
                     queued_guard = Some(QueuedGuard::start(node_state));
                 }
-                sleep(Duration::from_millis(PLACEMENT_RETRY_INTERVAL_MS)).await;
+                tokio::select! {
+                    () = sleep(Duration::from_millis(PLACEMENT_RETRY_INTERVAL_MS)) => {}
+                    () = node_state.grace_over.cancelled() => {}
+                }
                 waited_ms += PLACEMENT_RETRY_INTERVAL_MS as f64;
             }
 
--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -4,7 +4,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -93,9 +93,57 @@
     pub stop: CancellationToken,
 }
 
+/// `BusyConnections` counts the HTTP/1.1 connections of a server on which a request has arrived.
+///
+/// A stopping server closes those that are idle. Then the count is that of the connections whose
+/// last response has not been written to its end.
+#[derive(Debug, Clone, Default)]
+pub struct BusyConnections {
+    count: Arc<AtomicU64>,
+}
+
+impl BusyConnections {
+    /// Returns the number of connections.
+    pub fn count(&self) -> u64 {
+        self.count.load(Ordering::Relaxed)
+    }
+}
+
+/// `BusyGuard` counts its connection as busy from its first request until it is dropped.
+struct BusyGuard {
+    connections: BusyConnections,
+    is_busy: AtomicBool,
+}
+
+impl BusyGuard {
+    fn begin(&self) {
+        if !self.is_busy.swap(true, Ordering::Relaxed) {
+            self.connections.count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for BusyGuard {
+    fn drop(&mut self) {
+        if *self.is_busy.get_mut() {
+            self.connections.count.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
 impl Server {
     /// Accepts connections and serves each in its own task.
     pub async fn run(self, listener: Box<dyn Listener>, handler: Arc<impl Handler>) {
+        self.run_counted(listener, handler, BusyConnections::default()).await;
+    }
+
+    /// Accepts connections like [`Server::run`], and counts those on which a request has arrived.
+    pub async fn run_counted(
+        self,
+        listener: Box<dyn Listener>,
+        handler: Arc<impl Handler>,
+        busy: BusyConnections,
+    ) {
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -103,22 +151,33 @@
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok(io) => self.tasks.spawn(self.clone().serve(io, Arc::clone(&handler))),
+                Ok(io) => {
+                    let serving = self.clone().serve(io, Arc::clone(&handler), busy.clone());
+                    self.tasks.spawn(serving);
+                }
                 Err(_) => tokio::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await,
             }
         }
     }
 
-    async fn serve(self, io: BoxIo, handler: Arc<impl Handler>) {
+    async fn serve(self, io: BoxIo, handler: Arc<impl Handler>, busy: BusyConnections) {
         let options = self.options.load_full();
         match options.version {
-            HttpVersion::Http1 => self.serve_http1(io, handler, options).await,
+            HttpVersion::Http1 => self.serve_http1(io, handler, options, busy).await,
             HttpVersion::Http2 => self.serve_http2(io, handler).await,
         }
     }
 
-    async fn serve_http1(self, io: BoxIo, handler: Arc<impl Handler>, options: Arc<ServerOptions>) {
+    async fn serve_http1(
+        self,
+        io: BoxIo,
+        handler: Arc<impl Handler>,
+        options: Arc<ServerOptions>,
+        busy: BusyConnections,
+    ) {
+        let busy_guard = Arc::new(BusyGuard { connections: busy, is_busy: AtomicBool::new(false) });
         let has_unread_data = Arc::new(AtomicBool::new(false));
+        let pending_discards = Arc::new(AtomicU64::new(0));
         let mut builder = http1::Builder::new();
         builder
             .timer(HeaderTimer { options: Arc::clone(&self.options) })
@@ -131,6 +190,8 @@
             options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&has_unread_data),
+            pending_discards: Arc::clone(&pending_discards),
+            busy_guard: Arc::clone(&busy_guard),
         };
         let service = service_fn(move |request| Box::pin(exchange.clone().respond(request)));
         let mut connection = builder.serve_connection(TokioIo::new(io), service);
@@ -149,14 +210,18 @@
         .await;
         // A request head that could not be parsed has been answered, but not read to its end.
         let has_rejected_head = ended.is_err_and(|error| error.is_parse());
+        // A stop also ends connections whose request is still being read.
+        let is_discarding = pending_discards.load(Ordering::Relaxed) > 0;
+        let has_unread_data = is_discarding || has_unread_data.load(Ordering::Relaxed);
         let mut io = connection.into_parts().io.into_inner();
-        if has_rejected_head || has_unread_data.load(Ordering::Relaxed) {
+        if has_rejected_head || has_unread_data {
             let options = self.options.load_full();
             discard::close_in_order(io, &options.discard, &self.stop).await;
         } else {
             // The peer is gone if this fails.
             let _ = io.shutdown().await;
         }
+        drop(busy_guard);
     }
 
     async fn serve_http2(self, io: BoxIo, handler: Arc<impl Handler>) {
@@ -212,6 +277,9 @@
     stop: CancellationToken,
     /// Set when a response closes the connection before its request has been read.
     has_unread_data: Arc<AtomicBool>,
+    /// Number of request bodies that are being discarded, while the connection stays open.
+    pending_discards: Arc<AtomicU64>,
+    busy_guard: Arc<BusyGuard>,
 }
 
 impl<H> Clone for Exchange<H> {
@@ -222,6 +290,8 @@
             options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&self.has_unread_data),
+            pending_discards: Arc::clone(&self.pending_discards),
+            busy_guard: Arc::clone(&self.busy_guard),
         }
     }
 }
@@ -229,6 +299,7 @@
 impl<H: Handler> Exchange<H> {
     /// Handles one request. What the handler leaves unread of its body is discarded.
     async fn respond(self, request: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        self.busy_guard.begin();
         let options = self.options.load_full();
         let unread = UnreadSlot::default();
         let expects_continue = request.headers().contains_key(header::EXPECT);
@@ -245,8 +316,11 @@
 
             Some(body) if may_keep_alive(&body, expects_continue, &options.discard) => {
                 let stop = self.stop;
+                let discards = self.pending_discards;
+                discards.fetch_add(1, Ordering::Relaxed);
                 self.tasks.spawn(async move {
                     discard::discard_body(body.incoming, &options.discard, &stop).await;
+                    discards.fetch_sub(1, Ordering::Relaxed);
                 });
             }
 
