gateway: Count a pausing upstream as sound where ejections are ignored

A pause of some upstreams could bring ejected ones of the same service back: the paused ones were left out of the count of upstreams, so that more than half of the rest were ejected.

--- a/crates/fescuelock-gateway/src/placement.rs
+++ b/crates/fescuelock-gateway/src/placement.rs
@@ -154,10 +154,6 @@
         if let Some(paused_ms) = pauses::first_return_ms(matching_version.iter().copied(), now_ms) {
             return Err(PlacementError::Paused(paused_ms));
         }
-        // Upstreams that pause take no part in the comparison of the others.
-        let (matching_version, paused): (Vec<_>, Vec<_>) = matching_version
-            .into_iter()
-            .partition(|(_, upstream)| !upstream.pause.is_paused(now_ms));
         let ejected =
             matching_version.iter().filter(|(_, upstream)| upstream.health.is_ejected(now_ms));
         let ignore_ejections =
@@ -171,7 +167,12 @@
         };
         let mut candidates = Vec::with_capacity(matching_version.len());
         let mut keys = Vec::with_capacity(matching_version.len());
-        let affinity_engine = self.affinity_engine(request, &matching_version);
+        let open: Vec<(UpstreamKey, &Upstream)> = matching_version
+            .iter()
+            .copied()
+            .filter(|(_, upstream)| !upstream.pause.is_paused(now_ms))
+            .collect();
+        let affinity_engine = self.affinity_engine(request, &open);
         for &(key, upstream) in &matching_version {
             if upstream.health.is_ejected(now_ms) && !ignore_ejections {
                 continue;
@@ -195,7 +196,7 @@
         };
         let Some(chosen) = chosen else {
             return Err(PlacementError::AtCapacity(
-                self.time_to_capacity_ms(matching_version.iter().chain(&paused), now_ms),
+                self.time_to_capacity_ms(&matching_version, now_ms),
             ));
         };
         let candidate = candidates[chosen];
@@ -203,7 +204,7 @@
         let key = keys[chosen];
         let cold_rate = self.cold_start_rate(request.pool, &self.upstreams[&key]);
         let limit_rate_per_s = self.stated_limit_rate_per_s(&self.upstreams[&key]);
-        let (count, paused_count) = (candidates.len(), paused.len());
+        let (count, paused) = (candidates.len(), matching_version.len() - open.len());
         let upstream = self.upstreams.get_mut(&key).expect("candidates are known upstreams");
         let is_cold = now_ms < upstream.cold_until_ms && request.pool.warmup_per_s > 0.0;
         if is_cold && !request.is_estimate {
@@ -230,7 +231,7 @@
             uncached_tokens,
             is_cold,
             candidates: count,
-            paused: paused_count,
+            paused,
             loads_age_ms,
         })
     }
@@ -410,12 +411,8 @@
 
     /// Estimates the time until one of the upstreams has capacity, in milliseconds, from latency,
     /// occupancy, stated limits and pauses. Rate limits of cold upstreams are not considered.
-    fn time_to_capacity_ms<'a>(
-        &self,
-        upstreams: impl Iterator<Item = &'a (UpstreamKey, &'a Upstream)>,
-        now_ms: u64,
-    ) -> f64 {
-        let times = upstreams.map(|(_, upstream)| {
+    fn time_to_capacity_ms(&self, upstreams: &[(UpstreamKey, &Upstream)], now_ms: u64) -> f64 {
+        let times = upstreams.iter().map(|(_, upstream)| {
             let load_ratio = f64::from(upstream.in_flight()) / f64::from(upstream.record.slots);
             let free_in_ms = upstream.latency_ms * load_ratio.max(1.0);
             let paused_ms = match upstream.pause.is_paused(now_ms) {
