gateway: Test a report that displaces what is remembered of leaving upstreams

The memory of leaving upstreams is bounded. report_displaced fills it with reports and checks that what an upstream itself has stated stays.

--- a/crates/fescuelock-gateway/tests/leaving.rs
+++ b/crates/fescuelock-gateway/tests/leaving.rs
@@ -220,3 +220,19 @@
     ciborium::into_writer(&fields["g"], &mut leaving).expect("the field is encoded");
     assert!(leaving.len() <= 64 * 13 + 2, "{} bytes", leaving.len());
 }
+
+/// An upstream stayed left out when the report about it had made room for later ones.
+#[test]
+fn report_displaced() {
+    let mut fleet = fleet(1);
+    let reported = LeavingReport { incarnation: incarnation(1).hash, age_ms: 1_000 };
+    assert!(fleet.apply_leaving_reports(&[reported], 1_000));
+    let later: Vec<LeavingReport> =
+        (0..10_000).map(|incarnation| LeavingReport { incarnation, age_ms: 0 }).collect();
+    for part in later.chunks(64) {
+        fleet.apply_leaving_reports(part, 1_000);
+    }
+    assert_eq!(fleet.leaving_count(), 1);
+    (1_000..LATER_MS).step_by(100).for_each(|now_ms| fleet.expire_leaving(now_ms));
+    assert_eq!((fleet.leaving_count(), fleet.ready_count(LATER_MS)), (0, 1));
+}
