gateway: Relay a bounded number of roll-out counts in a report

Reports that relayed the counts of a roll-out of all nodes were larger than the buffer of their recipients in a large fleet, so that the report was ignored, its load and news included, and its bytes were sent for nothing. The number of counts grows with nodes and routes, and doubled when intervals came to be counted apart.

A report now holds the node's own counts and at most 48 of others, which take turns. Nodes begin at unlike places.

--- a/crates/fescuelock-gateway/src/peers.rs
+++ b/crates/fescuelock-gateway/src/peers.rs
@@ -45,7 +45,7 @@
 const REPORT_FANOUT: usize = 16;
 
 /// Size of the receive buffer, in bytes. It limits the size of a report.
-const REPORT_MAX_BYTES: usize = 16 << 10;
+pub const REPORT_MAX_BYTES: usize = 16 << 10;
 
 /// Time without a report after which a node is sent no more reports, in milliseconds.
 const PEER_INACTIVE_AFTER_MS: u64 = 10_000;
--- a/crates/fescuelock-gateway/src/rollouts.rs
+++ b/crates/fescuelock-gateway/src/rollouts.rs
@@ -3,6 +3,7 @@
 
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
 
 use fescuelock_platform::rollout::{RolloutSpec, RolloutState};
 use fescuelock_policy::placement::{hash_name, hash_pair};
@@ -28,6 +29,10 @@
     Expose(String, f64),
 }
 
+/// Maximum number of counts of other runs in one report. All that a report holds has to fit in the
+/// buffer of its recipients, and its size must not grow with the number of nodes.
+const RELAYED_TALLIES_MAX: usize = 48;
+
 /// `TallyKey` identifies the source of counts: one run of a node, and one route.
 ///
 /// The counts of a run that has ended stay valid, so they are kept and relayed.
@@ -74,6 +79,8 @@
     pub is_rejected: bool,
     started_ms: u64,
     tallies: Tallies,
+    /// The last counts of another run that a report has relayed.
+    last_relayed: Option<TallyKey>,
     stage: Stage,
     evidence: Evidence,
     /// State to write to the store, and the time since which the write is pending, in milliseconds.
@@ -132,6 +139,7 @@
                     is_rejected: state == Some(RolloutState::Reverted),
                     started_ms: now_ms,
                     tallies: Tallies::new(),
+                    last_relayed: None,
                     stage: Stage::Pending,
                     evidence: Evidence::default(),
                     pending_state: None,
@@ -268,22 +276,23 @@
         }
     }
 
-    /// Returns this node's view of its roll-outs for a report, with its own counts only, or with
-    /// the relayed counts of other runs if `includes_relayed` is set.
-    pub fn updates(&self, includes_relayed: bool, now_ms: u64) -> Vec<RolloutUpdate> {
-        let updates = self.by_service.values().map(|rollout| {
-            let tallies = rollout.tallies.iter();
-            let included = tallies.filter(|(key, _)| includes_relayed || key.run_id == self.run_id);
+    /// Returns this node's view of its roll-outs for a report, with its own counts only, or also
+    /// with counts of other runs, by turns, if `includes_relayed` is set.
+    pub fn updates(&mut self, includes_relayed: bool, now_ms: u64) -> Vec<RolloutUpdate> {
+        let run_id = self.run_id;
+        let relayed_max = match includes_relayed {
+            true => RELAYED_TALLIES_MAX / self.by_service.len().max(1),
+            false => 0,
+        };
+        let updates = self.by_service.values_mut().map(|rollout| {
+            let included = rollout.reported_tallies(run_id, relayed_max);
             RolloutUpdate {
                 pool: hash_name(&rollout.spec.pool),
                 version: hash_name(&rollout.spec.version),
                 elapsed_ms: rollout.elapsed_ms(now_ms),
                 stage: rollout.stage,
                 is_rejected: rollout.is_rejected,
-                tallies: match rollout.has_ended() {
-                    true => Tallies::new(),
-                    false => included.map(|(&key, &tally)| (key, tally)).collect(),
-                },
+                tallies: included,
             }
         });
         updates.collect()
@@ -302,6 +311,28 @@
         now_ms.saturating_sub(self.started_ms)
     }
 
+    /// Returns the counts of the run `run_id` and up to `relayed_max` of other runs, which begin
+    /// after those that were returned last.
+    fn reported_tallies(&mut self, run_id: u64, relayed_max: usize) -> Tallies {
+        if self.has_ended() {
+            return Tallies::new();
+        }
+        // Nodes begin at unlike places, so that together they relay all counts at any time.
+        let last = self.last_relayed.unwrap_or(TallyKey { run_id, route: u64::MAX });
+        let later = self.tallies.range((Bound::Excluded(last), Bound::Unbounded));
+        let by_turns = later.chain(self.tallies.range(..=last));
+        let relayed: Vec<(TallyKey, Tally)> = by_turns
+            .filter(|(key, _)| key.run_id != run_id)
+            .take(relayed_max)
+            .map(|(&key, &tally)| (key, tally))
+            .collect();
+        self.last_relayed = relayed.last().map(|(key, _)| *key).or(self.last_relayed);
+        let own = self
+            .tallies
+            .range(TallyKey { run_id, route: u64::MIN }..=TallyKey { run_id, route: u64::MAX });
+        own.map(|(&key, &tally)| (key, tally)).chain(relayed).collect()
+    }
+
     /// Returns whether the store holds a final state.
     fn has_ended(&self) -> bool {
         matches!(self.state, Some(RolloutState::Complete | RolloutState::Reverted))
--- a/crates/fescuelock-gateway/tests/rollout_fleet.rs
+++ b/crates/fescuelock-gateway/tests/rollout_fleet.rs
@@ -178,7 +178,7 @@
         if now_ms >= reported_ms + REPORT_INTERVAL_MS {
             reported_ms = now_ms;
             let (first, others) = nodes.split_first_mut().expect("a fleet has nodes");
-            for update in others.iter().flat_map(|node| node.updates(false, now_ms as u64)) {
+            for update in others.iter_mut().flat_map(|node| node.updates(false, now_ms as u64)) {
                 first.apply_update(update, now_ms as u64);
             }
             let count_ready = |_: &str, _: &str| (site.upstreams, site.upstreams);
