--- a/crates/fescuelock-policy/src/rollout.rs
+++ b/crates/fescuelock-policy/src/rollout.rs
@@ -251,10 +251,10 @@
         }
     }
 
-    /// Returns `failed` as a share of `all` answers. The denominator is at least
+    /// Returns `part` as a share of `all` answers. The denominator is at least
     /// [`BASELINE_ANSWERS_MIN`].
-    fn failure_share(failed: u32, all: u32) -> f64 {
-        f64::from(failed) / f64::from(all.max(failed).max(BASELINE_ANSWERS_MIN))
+    fn share_of(part: u32, all: u32) -> f64 {
+        f64::from(part) / f64::from(all.max(part).max(BASELINE_ANSWERS_MIN))
     }
 }
 
@@ -377,23 +377,21 @@
     }
 }
 
-/// `FailureHypothesis` is the failure share that a test detects.
+/// `ShareHypothesis` is the share of failed or slow answers that a test detects.
 #[derive(Debug, Clone, Copy)]
-struct FailureHypothesis {
-    /// Lowest failure share that is assumed for a good version.
+struct ShareHypothesis {
+    /// Lowest share that is assumed for a good version.
     baseline_min: f64,
-    /// Excess over the failure share of a good version at which a version is bad.
+    /// Excess over the share of a good version at which a version is bad.
     excess: f64,
 }
 
 /// A bad version fails a large part of its requests; a good one may run on a failing upstream.
-const FAILURE_HYPOTHESIS: FailureHypothesis =
-    FailureHypothesis { baseline_min: 0.03, excess: 0.15 };
+const FAILURE_HYPOTHESIS: ShareHypothesis = ShareHypothesis { baseline_min: 0.03, excess: 0.15 };
 
 /// A bad version answers a large part of its requests several times slower. Long prompts of other
 /// requests delay some answers of a good one.
-const SLOW_SHARE_HYPOTHESIS: FailureHypothesis =
-    FailureHypothesis { baseline_min: 0.1, excess: 0.25 };
+const SLOW_SHARE_HYPOTHESIS: ShareHypothesis = ShareHypothesis { baseline_min: 0.1, excess: 0.25 };
 
 /// Largest share of slow samples of the old version that is used as the baseline of a new version.
 const OLD_SLOW_SHARE_MAX: f64 = 0.5;
@@ -432,22 +430,22 @@
 }
 
 impl CusumTest {
-    /// Adds answers, some of them failures, and compares them with the failure share of the old
+    /// Adds answers, some of them failed or slow, and compares their share with that of the old
     /// version.
-    fn add_failures(
+    fn add_share(
         &mut self,
-        hypothesis: FailureHypothesis,
+        hypothesis: ShareHypothesis,
         answers: u32,
-        failed: u32,
-        old_failure_share: f64,
+        counted: u32,
+        old_share: f64,
         weight: f64,
     ) {
-        let good = old_failure_share.max(hypothesis.baseline_min);
+        let good = old_share.max(hypothesis.baseline_min);
         let bad = (good + hypothesis.excess).min(0.99);
-        let per_failure = (bad / good).ln();
-        let per_success = ((1.0 - bad) / (1.0 - good)).ln();
-        let successes = f64::from(answers.saturating_sub(failed));
-        let added = f64::from(failed) * per_failure + successes * per_success;
+        let per_counted = (bad / good).ln();
+        let per_other = ((1.0 - bad) / (1.0 - good)).ln();
+        let others = f64::from(answers.saturating_sub(counted));
+        let added = f64::from(counted) * per_counted + others * per_other;
         // The sum is clamped at 0, so that a version that turns bad late is detected as quickly.
         self.score = (self.score + weight * added).max(0.0);
     }
@@ -490,25 +488,24 @@
         let weight = self.latency_weight(upstreams);
         let earlier = self.tallies.insert(route, tally).unwrap_or_default();
         let added = tally.since(earlier);
-        let old_failure_share = Counts::failure_share(tally.old.failures, tally.old.answers);
+        let old_failure_share = Counts::share_of(tally.old.failures, tally.old.answers);
         let route_failures = self.failures.entry(route).or_default();
-        route_failures.add_failures(
+        route_failures.add_share(
             FAILURE_HYPOTHESIS,
             added.new.answers,
             added.new.failures,
             old_failure_share,
             1.0,
         );
-        self.pooled_failures.add_failures(
+        self.pooled_failures.add_share(
             FAILURE_HYPOTHESIS,
             added.new.answers,
             added.new.failures,
             old_failure_share,
             1.0,
         );
-        let old_slow_share =
-            Counts::failure_share(tally.old.slow_samples, tally.old.latency_samples);
-        self.pooled_slow_share.add_failures(
+        let old_slow_share = Counts::share_of(tally.old.slow_samples, tally.old.latency_samples);
+        self.pooled_slow_share.add_share(
             SLOW_SHARE_HYPOTHESIS,
             added.new.latency_samples,
             added.new.slow_samples,
