router: Believe a response without an id only on a new connection

Callers of the router's own front got the response of another call, or the error of another chat request, if an upstream wrote a response without an id once more on a kept connection: ids were compared only where the response had one, and errors of engines were not compared at all.

The router now decides as the gateway does, with `policy::answer_identity`: on a connection that carried another request, a response needs the id of its own. A connection is kept only after a response that carried the id, in a header or, from engines that repeat it, in the body or the events. Services that do not repeat the id and engines with ids of their own get a new connection for each request.

--- a/crates/fescuelock-router/src/chat.rs
+++ b/crates/fescuelock-router/src/chat.rs
@@ -21,7 +21,7 @@
 use fescuelock_upstreams::dispatch::{AnsweredAttempt, Assignment, ConnectionReuse};
 use http::{Response, StatusCode, header};
 
-use crate::handler::{AdmittedRequest, Failure, InFlightGuard, RequestHandler, refuse};
+use crate::handler::{AdmittedRequest, Failure, InFlightGuard, RequestHandler, identify, refuse};
 use crate::relay::Relay;
 
 /// `PlacedRequest` is a chat request that has been placed on a model version.
@@ -165,8 +165,15 @@
         let ids = stream_ids(handler, &in_flight.upstream_handle().name);
         let status = response.status();
         let content_type = response.headers().get(header::CONTENT_TYPE).cloned();
+        let identity = identify(placed.id, response.headers(), &connection);
         let body = read_all(response.into_body(), handler.options.answer_max_bytes).await;
         let checked = match body {
+            // Engines don't put the id into the body of an error.
+            Ok(_) if !status.is_success() && !identity.is_accepted() => {
+                handler.counters.count(Counter::AnswersCrossed);
+                Err(UnknownCause::AnswerInvalid)
+            }
+
             Ok(body) if !status.is_success() => Ok((body, None)),
 
             Ok(body) => match validate_completion(&body, placed.id, ids) {
@@ -178,7 +185,10 @@
         };
         match checked {
             Ok((body, usage)) => {
-                in_flight.upstream_handle().pool.checkin(connection);
+                // Without an id in this response, the next one may have none either.
+                if usage.is_some() && ids == ResponseIdSource::Echoed {
+                    in_flight.upstream_handle().pool.checkin(connection);
+                }
                 let mut response = billed_response(handler, placed, status, body, usage).await;
                 if let Some(content_type) = content_type {
                     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
@@ -226,9 +236,21 @@
 ) -> Result<Response<Body>, Failure> {
     let mut tried = Vec::new();
     let build = || placed.request.to_http(None);
-    let progress = PendingRequest::Unsent(attempt);
-    let answered =
-        handler.dispatch(progress, &placed.assignment, &mut tried, build, Some(Retryable)).await?;
+    let mut progress = PendingRequest::Unsent(attempt);
+    let answered = loop {
+        let answered = handler
+            .dispatch(progress, &placed.assignment, &mut tried, build, Some(Retryable))
+            .await?;
+        let head = &answered.response;
+        let identity = identify(placed.id, head.headers(), &answered.connection);
+        // The events of a stream carry its id, an error doesn't.
+        if head.status().is_success() || identity.is_accepted() {
+            break answered;
+        }
+        handler.counters.count(Counter::AnswersCrossed);
+        handler.dispatcher.record_failure(answered.in_flight.upstream_handle());
+        progress = answered.attempt.retry(Retryable, UnknownCause::AnswerInvalid);
+    };
     if !answered.response.status().is_success() {
         return Ok(forward_error(handler, *answered).await);
     }
@@ -243,12 +265,10 @@
 
 /// Forwards an error that an engine returned.
 async fn forward_error(handler: &RequestHandler, answered: AnsweredAttempt) -> Response<Body> {
-    let AnsweredAttempt { response, connection, in_flight, .. } = answered;
+    // The connection is not kept: the response does not carry the id of its request.
+    let AnsweredAttempt { response, connection: _connection, in_flight: _in_flight, .. } = answered;
     let status = response.status();
     let read = read_all(response.into_body(), handler.options.answer_max_bytes).await;
-    if read.is_ok() {
-        in_flight.upstream_handle().pool.checkin(connection);
-    }
     handler.counters.count(Counter::RequestsRan);
     let body = String::from_utf8_lossy(&read.unwrap_or_default()).into_owned();
     let mut response = responses::json_response(status, body);
--- a/crates/fescuelock-router/src/handler.rs
+++ b/crates/fescuelock-router/src/handler.rs
@@ -25,13 +25,15 @@
 use fescuelock_http::body::Body;
 use fescuelock_http::net::BoxFuture;
 use fescuelock_http::panics;
+use fescuelock_http::pool::Connection;
 use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
+use fescuelock_policy::answer_identity::{self, AnswerIdentity, AnswerLabels};
 use fescuelock_store::bills::BillRecorder;
 use fescuelock_store::claims::ClaimStore;
 use fescuelock_upstreams::dispatch::{AnsweredAttempt, Assignment, AttemptResult, Dispatcher};
 use fescuelock_upstreams::registry::UpstreamHandle;
-use http::{Method, Request, Response};
+use http::{HeaderMap, Method, Request, Response};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -318,6 +320,21 @@
     }
 }
 
+/// Returns how far a response is known to belong to a request. Upstreams repeat the id of the
+/// request in a header, or engines in the body only.
+pub fn identify(
+    id: RequestId,
+    response_headers: &HeaderMap,
+    connection: &Connection,
+) -> AnswerIdentity {
+    let echoed_id = response_headers.get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
+    answer_identity::identify(&AnswerLabels {
+        request_id: Some(&id.to_string()),
+        echoed_id,
+        is_connection_reused: connection.is_reused(),
+    })
+}
+
 /// Ends an attempt that was not sent, with a refusal.
 pub fn refuse(attempt: RequestProgress<Unsent>, refusal: Refusal) -> Failure {
     Box::new(Outcome::NotRun(attempt.refuse(refusal)))
--- a/crates/fescuelock-router/src/relay.rs
+++ b/crates/fescuelock-router/src/relay.rs
@@ -8,6 +8,7 @@
 use fescuelock_callers::responses;
 use fescuelock_core::counters::Counter;
 use fescuelock_core::outcome::{RequestProgress, Retryable, Sent, Unknown, UnknownCause};
+use fescuelock_core::rules::ResponseIdSource;
 use fescuelock_core::units::Usage;
 use fescuelock_http::body::BodySender;
 use fescuelock_upstreams::chat::Continuation;
@@ -89,6 +90,7 @@
         answered: AnsweredAttempt,
         reader: &mut StreamReader,
     ) -> SegmentEnd {
+        let ids = self.stream_ids_of(&answered);
         let AnsweredAttempt { attempt, response, connection, in_flight } = answered;
         let idle_timeout = Duration::from_millis(self.handler.options.stream_idle_ms);
         let mut body = response.into_body();
@@ -113,7 +115,11 @@
             // `[DONE]` without a `finish_reason` before it ends a truncated response.
             match batch.ended {
                 true if reader.has_finish_reason() => {
-                    if let Ok(None) = timeout(idle_timeout, body.frame()).await {
+                    // Without ids of requests, a stream could not be told from a stray one.
+                    let has_request_id = ids == ResponseIdSource::Echoed;
+                    if let Ok(None) = timeout(idle_timeout, body.frame()).await
+                        && has_request_id
+                    {
                         in_flight.upstream_handle().pool.checkin(connection);
                     }
                     return SegmentEnd::Complete(self.total_usage(reader));
@@ -198,10 +204,7 @@
         Usage { input_tokens, output_tokens }
     }
 
-    fn stream_ids_of(
-        &self,
-        answered: &AnsweredAttempt,
-    ) -> fescuelock_core::rules::ResponseIdSource {
+    fn stream_ids_of(&self, answered: &AnsweredAttempt) -> ResponseIdSource {
         stream_ids(&self.handler, &answered.in_flight.upstream_handle().name)
     }
 }
--- a/crates/fescuelock-router/src/service.rs
+++ b/crates/fescuelock-router/src/service.rs
@@ -26,7 +26,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::handler::{
-    AdmittedRequest, Failure, InFlightGuard, RequestHandler, refuse, unknown_outcome,
+    AdmittedRequest, Failure, InFlightGuard, RequestHandler, identify, refuse, unknown_outcome,
 };
 
 /// Maximum size of a response body that is stored for duplicates, in bytes.
@@ -241,18 +241,17 @@
             .await?;
         let AnsweredAttempt { attempt, response, connection, in_flight } = *answered;
         let (head, body) = response.into_parts();
-        // If the service echoes the request id, another id shows that the response belongs to
-        // another request.
-        let echoed_id = head.headers.get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
-        let is_mismatched = echoed_id.is_some_and(|echoed_id| echoed_id != call.id.to_string());
+        let identity = identify(call.id, &head.headers, &connection);
         let cause = match read_all(body, handler.options.answer_max_bytes).await {
-            Ok(_) if is_mismatched => {
+            Ok(_) if !identity.is_accepted() => {
                 handler.counters.count(Counter::AnswersCrossed);
                 UnknownCause::AnswerInvalid
             }
 
             Ok(body) => {
-                in_flight.upstream_handle().pool.checkin(connection);
+                if identity.may_keep_connection(head.status.is_server_error()) {
+                    in_flight.upstream_handle().pool.checkin(connection);
+                }
                 let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
                 return Ok(ServiceResponse { status: head.status, content_type, body });
             }
