--- a/crates/fescuelock-load/tests/streams.rs
+++ b/crates/fescuelock-load/tests/streams.rs
@@ -8,6 +8,7 @@
 use fescuelock_load::samples::{CHEAP_TEAM, CHEAP_VERSION, SampleOptions, rule, rules};
 use fescuelock_standin::faults::EngineFaults;
 use fescuelock_store::bills::read_ledger;
+use tokio::time::Instant;
 
 fn stream(prompt: &str) -> ChatRequest {
     ChatRequest { prompt: prompt.to_owned(), tokens: 20, stream: true, ..ChatRequest::default() }
@@ -42,6 +43,29 @@
     }
 }
 
+/// An engine that sent nothing for some seconds, before its answer or in a stream, was replaced
+/// although it would have gone on.
+#[tokio::test(start_paused = true)]
+async fn silent_engine_kept() {
+    for faults in [
+        EngineFaults { late_ms: 3_000, ..EngineFaults::default() },
+        EngineFaults { pause_after_tokens: Some(7), pause_ms: 3_000, ..EngineFaults::default() },
+    ] {
+        let test_cluster = TestCluster::start(1, "").await;
+        test_cluster.engine_faults(&faults);
+        let started = Instant::now();
+        for chat in [stream("silent"), non_streaming("silent too")] {
+            let reply = test_cluster.caller(0, CHEAP_TEAM).chat(&chat).await;
+            assert!(reply.is_ok(), "{reply:?}");
+            assert_eq!(reply.tokens, 20);
+        }
+        assert!(started.elapsed().as_secs() >= 3, "the engine was silent");
+        let node = test_cluster.cluster.node(0).expect("the node runs");
+        let resumed = node.status().counters.get("streams.resumed").copied().unwrap_or(0);
+        assert_eq!(resumed, 0);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn cut_everywhere() {
     let test_cluster = TestCluster::start(1, "").await;
--- a/crates/fescuelock-standin/src/engine.rs
+++ b/crates/fescuelock-standin/src/engine.rs
@@ -142,6 +142,8 @@
     end_token: u64,
     input_tokens: u64,
     cut_at_token: Option<u64>,
+    pause_at_token: Option<u64>,
+    pause_ms: u64,
     cut_cleanly: bool,
     cut_with_marker: bool,
 }
@@ -307,6 +309,8 @@
             first_token: continued_tokens,
             end_token,
             input_tokens: u64::try_from(body_bytes).unwrap_or(u64::MAX) / BYTES_PER_TOKEN,
+            pause_at_token: faults.pause_after_tokens.map(|tokens| continued_tokens + tokens),
+            pause_ms: faults.pause_ms,
             cut_at_token: faults
                 .cut_after_tokens
                 .map(|tokens| continued_tokens + tokens)
@@ -378,6 +382,9 @@
             if gap > Duration::ZERO && due > Instant::now() {
                 sleep_until(due).await;
             }
+            if completion.pause_at_token == Some(index) {
+                sleep(Duration::from_millis(completion.pause_ms)).await;
+            }
             if !sender.send(token_event(&completion, index)).await {
                 self.finish(&completion, index - completion.first_token, false);
                 return;
--- a/crates/fescuelock-standin/src/faults.rs
+++ b/crates/fescuelock-standin/src/faults.rs
@@ -14,6 +14,10 @@
     pub silent: bool,
     /// Delay before the answer, in milliseconds.
     pub late_ms: u64,
+    /// Number of tokens after which streams pause once.
+    pub pause_after_tokens: Option<u64>,
+    /// Duration of the pause, in milliseconds.
+    pub pause_ms: u64,
     /// Whether answers belong to another request.
     pub crossed: bool,
     /// Number of tokens after which streams are truncated.
