--- a/crates/fescuelock-gateway/src/metrics.rs
+++ b/crates/fescuelock-gateway/src/metrics.rs
@@ -51,7 +51,7 @@
     SecondSends,
     /// Pauses of upstreams, by state: begun, lengthened or ended.
     Pauses,
-    /// Upstreams that turned out to be leaving, and ends of that state.
+    /// Upstreams that were found to be leaving, and ends of that, by state and cause.
     LeavingChanges,
 }
 
