router: Keep a silent engine until another one has gone on

Callers of the product's own front lost streams whose only engine sent nothing for 15 s and went on (`answer_timeout`, only_engine_silent), also if the version had been withdrawn meanwhile. With a second engine, the first one was dropped before the second had begun: requests whose engine answered just after `answer_timeout_ms` ended with 504 if the next one was slower.

Cause: `stream_idle_ms` and `answer_timeout_ms` ended an attempt before another one was sent.

`RequestHandler::dispatch_until` holds all attempts of a request that may be repeated until one has the answer, and drops the others then. When nothing has arrived for `policy::silence::WaitLimits`, another upstream is asked beside. For the rest of a stream, the answer is an event that continues it. A stream that no engine goes on with ends `stream_idle_ms + answer_timeout_ms` after its last event. `attempts_max` bounds the sends as before; calls that may run only once have one. An engine that goes on keeps its health, and one that was cancelled may be asked again. The counters `silences*` and `second_sends` tell how silences ended.

Three more faults in the same place: an engine was asked to continue an answer with its finish reason, and its text reached the caller (`finished_answer`: "aaa" in place of "a"); an engine that was asked for the rest of a stream worked on after the caller had left (`caller_leaves`); a foreign continuation replaced an engine that went on (`foreign_rest`).

Failed before: only_engine_silent; in second_engine.rs second_takes_over and both_silent (by the new counters only), first_goes_on (25 s in place of 20 s), cancelled_asked_again, caller_leaves, withdrawn_goes_on, head_kept; in broken_silence.rs foreign_rest and finished_answer. head_from_second, second_left and silent_after_head passed before and guard the change.

The text that break-promises.sh replaces for a clean close has moved.

--- a/crates/fescuelock-core/src/counters.rs
+++ b/crates/fescuelock-core/src/counters.rs
@@ -47,6 +47,16 @@
     StreamsCut => "streams.cut",
     /// Streams whose caller disconnected before their end.
     StreamsAbandoned => "streams.abandoned",
+    /// Silences of engines within a stream.
+    Silences => "silences",
+    /// Silences after which the engine went on with its stream.
+    SilencesEnded => "silences.ended",
+    /// Silences in which another engine went on with the stream.
+    SilencesReplaced => "silences.replaced",
+    /// Silences during which the stream was cut or ended, or its caller disconnected.
+    SilencesLost => "silences.lost",
+    /// Requests that were sent to another upstream beside one that was silent.
+    SecondSends => "second_sends",
     /// Connections opened to upstreams.
     UpstreamConnects => "upstream.connects",
     /// Failed connects to upstreams and requests that failed on a connection, including timeouts.
--- a/crates/fescuelock-gateway/src/hedge.rs
+++ b/crates/fescuelock-gateway/src/hedge.rs
@@ -14,7 +14,9 @@
 use fescuelock_policy::crash_evidence::PromptVerdict;
 use fescuelock_policy::health::Outcome as HealthOutcome;
 use fescuelock_policy::retry_budget::RetryPurpose;
-use fescuelock_policy::silence::{HedgeCause, HedgeCheck, HedgeTimeouts};
+use fescuelock_policy::silence::{
+    HedgeCause, HedgeCheck, HedgeTimeouts, SECOND_SEND_RETRY_INTERVAL_MS,
+};
 use slog::info;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -30,9 +32,6 @@
 use crate::trace::Trace;
 use crate::upstream::UpstreamKey;
 
-/// Interval at which a second send is tried again, in milliseconds.
-const RETRY_INTERVAL_MS: u64 = 100;
-
 /// `FirstAttempt` is an attempt that is under way and may get a second one beside it.
 #[derive(Debug, Clone, Copy)]
 pub struct FirstAttempt<'a> {
@@ -229,7 +228,7 @@
                 return None;
             }
         }
-        sleep(Duration::from_millis(RETRY_INTERVAL_MS)).await;
+        sleep(Duration::from_millis(SECOND_SEND_RETRY_INTERVAL_MS)).await;
     }
 }
 
--- a/crates/fescuelock-policy/src/silence.rs
+++ b/crates/fescuelock-policy/src/silence.rs
@@ -4,7 +4,7 @@
 //! engine or of a whole service at once, as well as upstreams that never go on. Three verdicts are
 //! kept apart: when a request is sent to a second upstream ([`HedgeTimeouts`]), when an upstream
 //! gets no new requests ([`Silence::accepts`]), and when its silence counts as a failure
-//! ([`Silence::take_loss`]).
+//! ([`Silence::take_loss`]). [`WaitLimits`] tells when a request that has no deadline ends.
 
 /// Time for which requests have waited in a silence from which it counts as a failure of the upstream,
 /// in milliseconds. It is longer than keep-alive probes need to detect that a peer has gone.
@@ -14,6 +14,9 @@
 /// answered ends the silence.
 const PROBE_INTERVAL_MS: u64 = 500;
 
+/// Interval at which a second send that was not possible is tried again, in milliseconds.
+pub const SECOND_SEND_RETRY_INTERVAL_MS: u64 = 100;
+
 /// Share of a service's upstreams above which their silence is no reason to prefer others.
 const SILENT_IGNORED_ABOVE_SHARE: f64 = 0.5;
 
@@ -70,6 +73,56 @@
     }
 }
 
+/// `WaitLimits` configures how long a request waits for its upstreams. The time starts anew with each
+/// byte for the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitLimits {
+    /// Time after which a second upstream is asked beside the first one, in milliseconds.
+    pub second_send_ms: u64,
+    /// Time after which a request ends for which no second upstream is to be had, in milliseconds. It
+    /// never ends before `second_send_ms`.
+    pub end_ms: u64,
+}
+
+/// `WaitCheck` is what to do for a request that waits for its upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WaitCheck {
+    /// Wait until something arrives, and for this time at most, in milliseconds.
+    WaitMs(u64),
+    /// Ask a second upstream. The first one is kept.
+    SendSecond,
+    /// End the request without an answer.
+    End,
+}
+
+impl WaitLimits {
+    /// Returns what to do for a request that has got nothing for `waited_ms`, and whose second send is
+    /// not known to be impossible now.
+    ///
+    /// An attempt is kept until another one has an answer: a request without a second upstream waits
+    /// for its first one until `end_ms`.
+    pub fn check(&self, waited_ms: u64, may_send_second: bool) -> WaitCheck {
+        let end_ms = self.end_ms.max(self.second_send_ms);
+        match waited_ms {
+            _ if waited_ms < self.second_send_ms => {
+                WaitCheck::WaitMs(self.second_send_ms - waited_ms)
+            }
+
+            _ if may_send_second => WaitCheck::SendSecond,
+
+            _ if waited_ms >= end_ms => WaitCheck::End,
+
+            _ => WaitCheck::WaitMs(SECOND_SEND_RETRY_INTERVAL_MS.min(end_ms - waited_ms)),
+        }
+    }
+
+    /// Returns the longest time for which an attempt may be kept, in milliseconds, if a request has
+    /// at most `attempts_max` of them.
+    pub fn longest_ms(&self, attempts_max: u32) -> u64 {
+        self.end_ms.max(self.second_send_ms).saturating_mul(u64::from(attempts_max.max(1)))
+    }
+}
+
 /// `Silence` is the state of an upstream that may be silent.
 #[derive(Debug, Clone, Default)]
 pub struct Silence {
--- a/crates/fescuelock-policy/tests/silence.rs
+++ b/crates/fescuelock-policy/tests/silence.rs
@@ -4,7 +4,7 @@
 use fescuelock_policy::health::{Health, Outcome};
 use fescuelock_policy::retry_budget::{RetryBudget, RetryLimit, RetryPurpose};
 use fescuelock_policy::silence::{
-    HedgeCause, HedgeCheck, HedgeTimeouts, Silence, should_ignore_silence,
+    HedgeCause, HedgeCheck, HedgeTimeouts, Silence, WaitCheck, WaitLimits, should_ignore_silence,
 };
 
 /// Timeouts of a stream with a target interval of 1.2 s between events.
@@ -32,6 +32,27 @@
     assert_eq!(TIMEOUTS.check(0, Some(3_500), 3_600), unanswered);
 }
 
+/// A stream was cut because its only upstream was silent for the time after which others are asked.
+#[test]
+fn only_upstream_kept() {
+    let limits = WaitLimits { second_send_ms: 15_000, end_ms: 75_000 };
+    assert_eq!(limits.check(14_000, true), WaitCheck::WaitMs(1_000));
+    assert_eq!(limits.check(15_000, true), WaitCheck::SendSecond);
+    assert_eq!(limits.check(15_000, false), WaitCheck::WaitMs(100));
+    assert_eq!(limits.check(74_950, false), WaitCheck::WaitMs(50));
+    assert_eq!(limits.check(75_000, false), WaitCheck::End);
+}
+
+/// A request ended before its second upstream was asked, as its time was the shorter one.
+#[test]
+fn end_after_second() {
+    let limits = WaitLimits { second_send_ms: 15_000, end_ms: 10_000 };
+    assert_eq!(limits.check(14_000, false), WaitCheck::WaitMs(1_000));
+    assert_eq!(limits.check(15_000, true), WaitCheck::SendSecond);
+    assert_eq!(limits.check(15_000, false), WaitCheck::End);
+    assert_eq!(limits.longest_ms(4), 60_000);
+}
+
 /// An upstream that had been silent stayed left out.
 #[test]
 fn short_silence_forgotten() {
--- a/crates/fescuelock-router/src/chat.rs
+++ b/crates/fescuelock-router/src/chat.rs
@@ -21,6 +21,7 @@
 use fescuelock_upstreams::dispatch::{AnsweredAttempt, Assignment, ConnectionReuse};
 use http::{Response, StatusCode, header};
 
+use crate::attempts::Attempts;
 use crate::handler::{AdmittedRequest, Failure, InFlightGuard, RequestHandler, identify, refuse};
 use crate::relay::Relay;
 
@@ -154,12 +155,12 @@
     placed: &PlacedRequest,
     attempt: RequestProgress<Unsent>,
 ) -> Result<Response<Body>, Failure> {
-    let mut tried = Vec::new();
+    let mut attempts = Attempts::default();
     let mut progress = PendingRequest::Unsent(attempt);
     loop {
         let build = || placed.request.to_http(None);
         let answered = handler
-            .dispatch(progress, &placed.assignment, &mut tried, build, Some(Retryable))
+            .dispatch(progress, &placed.assignment, &mut attempts, build, Some(Retryable))
             .await?;
         let AnsweredAttempt { attempt, response, connection, in_flight } = *answered;
         let ids = stream_ids(handler, &in_flight.upstream_handle().name);
@@ -196,7 +197,7 @@
                 return Ok(response);
             }
 
-            Err(cause) if tried.len() < handler.options.attempts_max as usize => {
+            Err(cause) if attempts.is_left(handler.options.attempts_max) => {
                 handler.dispatcher.record_failure(in_flight.upstream_handle());
                 progress = attempt.retry(Retryable, cause);
             }
@@ -234,12 +235,12 @@
     in_flight_guard: InFlightGuard,
     attempt: RequestProgress<Unsent>,
 ) -> Result<Response<Body>, Failure> {
-    let mut tried = Vec::new();
+    let mut attempts = Attempts::default();
     let build = || placed.request.to_http(None);
     let mut progress = PendingRequest::Unsent(attempt);
     let answered = loop {
         let answered = handler
-            .dispatch(progress, &placed.assignment, &mut tried, build, Some(Retryable))
+            .dispatch(progress, &placed.assignment, &mut attempts, build, Some(Retryable))
             .await?;
         let head = &answered.response;
         let identity = identify(placed.id, head.headers(), &answered.connection);
@@ -255,7 +256,7 @@
         return Ok(forward_error(handler, *answered).await);
     }
     let (sender, body) = Body::streamed();
-    let relay = Relay::new(Arc::clone(handler), placed, in_flight_guard, tried, sender);
+    let relay = Relay::new(Arc::clone(handler), placed, in_flight_guard, attempts, sender);
     handler.tasks.spawn(relay.run(*answered));
     let mut response = Response::new(body);
     responses::set_header(&mut response, "content-type", "text/event-stream");
--- a/crates/fescuelock-router/src/handler.rs
+++ b/crates/fescuelock-router/src/handler.rs
@@ -1,7 +1,7 @@
 //! Handling of a caller's request, from its headers to the response.
 //!
 //! `RequestHandler::respond` authenticates the caller and passes the request to [`crate::chat`]
-//! or [`crate::service`]. Both send with [`RequestHandler::dispatch`], the only function that
+//! or [`crate::service`]. Both send with [`RequestHandler::dispatch_until`], the only function that
 //! chooses an upstream and sends to it, so that every request to an upstream passes the same
 //! checks.
 
@@ -14,9 +14,7 @@
 use fescuelock_core::config::ConfigCell;
 use fescuelock_core::counters::{Counter, Counters};
 use fescuelock_core::ids::{Generation, RequestId, TeamKey, UpstreamKey};
-use fescuelock_core::outcome::{
-    Outcome, PendingRequest, RequestProgress, Retryable, Unknown, UnknownCause, Unsent,
-};
+use fescuelock_core::outcome::{Outcome, RequestProgress, Unknown, UnknownCause, Unsent};
 use fescuelock_core::placement::choose_upstream;
 use fescuelock_core::refusal::Refusal;
 use fescuelock_core::rules::ConfigSnapshot;
@@ -29,14 +27,16 @@
 use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
 use fescuelock_policy::answer_identity::{self, AnswerIdentity, AnswerLabels};
+use fescuelock_policy::silence::WaitLimits;
 use fescuelock_store::bills::BillRecorder;
 use fescuelock_store::claims::ClaimStore;
-use fescuelock_upstreams::dispatch::{AnsweredAttempt, Assignment, AttemptResult, Dispatcher};
+use fescuelock_upstreams::dispatch::{Assignment, Dispatcher};
 use fescuelock_upstreams::registry::UpstreamHandle;
 use http::{HeaderMap, Method, Request, Response};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::attempts::Attempts;
 use crate::{chat, service};
 
 /// URL path of chat completions.
@@ -49,9 +49,11 @@
 /// `RequestOptions` configures timeouts, retries and limits of request handling.
 #[derive(Debug, Clone)]
 pub struct RequestOptions {
-    /// Timeout for the headers of an upstream's response, in milliseconds. Defaults to 60,000.
+    /// Time to wait for the headers of an upstream's response before another one is asked beside it,
+    /// or before the request ends if none is to be had, in milliseconds. Defaults to 60,000.
     pub answer_timeout_ms: u64,
-    /// Idle timeout of a stream, in milliseconds. Defaults to 15,000.
+    /// Time without an event of a stream after which another engine is asked beside its engine, in
+    /// milliseconds. Defaults to 15,000.
     pub stream_idle_ms: u64,
     /// Maximum size of a response that is not streamed, in bytes. Defaults to 8 MiB.
     pub answer_max_bytes: usize,
@@ -81,6 +83,28 @@
     }
 }
 
+impl RequestOptions {
+    /// Returns the limits of the wait for the head of a response.
+    pub fn head_limits(&self) -> WaitLimits {
+        let timeout_ms = self.answer_timeout_ms;
+        WaitLimits { second_send_ms: timeout_ms, end_ms: timeout_ms }
+    }
+
+    /// Returns the limits of the wait for the next event of a stream. After the silence, another
+    /// engine gets the time for the head of an answer, or the stream as much time to go on.
+    pub fn stream_limits(&self) -> WaitLimits {
+        WaitLimits {
+            second_send_ms: self.stream_idle_ms,
+            end_ms: self.stream_idle_ms.saturating_add(self.answer_timeout_ms),
+        }
+    }
+
+    /// Returns the limits of the wait for an engine that is asked for the rest of a stream.
+    pub fn rest_limits(&self) -> WaitLimits {
+        WaitLimits { second_send_ms: self.stream_idle_ms, end_ms: self.answer_timeout_ms }
+    }
+}
+
 /// `RequestHandler` handles the requests of callers.
 pub struct RequestHandler {
     /// The configuration in force.
@@ -203,85 +227,25 @@
         Ok(AdmittedRequest { id, snapshot, team, request, in_flight_guard })
     }
 
-    /// Sends a request to one upstream after another until one has begun to respond.
-    ///
-    /// No upstream is tried twice. A request that may have reached an upstream is retried only if
-    /// the rules mark it as repeatable.
-    pub async fn dispatch(
+    /// Chooses the next upstream for a request, if it has an attempt left.
+    pub fn next_upstream(
         &self,
-        mut progress: PendingRequest,
         assignment: &Assignment,
-        tried: &mut Vec<String>,
-        build: impl Fn() -> http::Result<Request<Body>>,
-        repeatable: Option<Retryable>,
-    ) -> Result<Box<AnsweredAttempt>, Failure> {
-        let mut refusal = Refusal::Unreachable(assignment.serving.clone());
-        while tried.len() < self.options.attempts_max as usize {
-            let Some((name, peer)) = self.next_upstream(assignment, tried) else {
-                break;
-            };
-            if !tried.is_empty() {
-                self.counters.count(Counter::Retries);
-            }
-            tried.push(name);
-            let request = match build() {
-                Ok(request) => request,
-                Err(error) => {
-                    let refusal = Refusal::MalformedBody(error.to_string());
-                    return Err(Box::new(progress.end(refusal)));
-                }
-            };
-            match self.dispatcher.send(progress, &peer, assignment, request).await {
-                AttemptResult::Answered(answered) => match repeatable {
-                    Some(repeatable) if is_retryable(answered.response.status()) => {
-                        self.dispatcher.record_failure(&peer);
-                        let cause = UnknownCause::AnswerInvalid;
-                        progress = answered.attempt.retry(repeatable, cause);
-                    }
-
-                    _ => return Ok(answered),
-                },
-
-                AttemptResult::NotSent(unsent) => progress = unsent,
-
-                AttemptResult::Refused(unsent, reason) => {
-                    progress = unsent;
-                    // Another upstream of the version may still accept new requests.
-                    if !matches!(reason, Refusal::NoUpstream(_)) {
-                        return Err(Box::new(progress.end(reason)));
-                    }
-                    refusal = reason;
-                }
-
-                AttemptResult::Lost(sent, unknown_cause) => match repeatable {
-                    Some(repeatable) => progress = sent.retry(repeatable, unknown_cause),
-
-                    None => return Err(Box::new(Outcome::Unknown(sent.unknown(unknown_cause)))),
-                },
-            }
-        }
-        if tried.is_empty() {
-            refusal = Refusal::NoUpstream(assignment.serving.clone());
+        attempts: &Attempts,
+    ) -> Option<Arc<UpstreamHandle>> {
+        if !attempts.is_left(self.options.attempts_max) {
+            return None;
         }
-        Err(Box::new(progress.end(refusal)))
-    }
-
-    /// Chooses the next upstream for a request.
-    fn next_upstream(
-        &self,
-        assignment: &Assignment,
-        tried: &[String],
-    ) -> Option<(String, Arc<UpstreamHandle>)> {
         let snapshot = self.config.current();
         let bound = self.dispatcher.registry.table_for(&snapshot);
         let serving = snapshot.find_workload(&assignment.serving)?;
         let local_zone = snapshot.zones.find(&self.zone);
         let tried: Vec<UpstreamKey> =
-            tried.iter().filter_map(|name| snapshot.upstreams.find(name)).collect();
+            attempts.tried().iter().filter_map(|name| snapshot.upstreams.find(name)).collect();
         let load = |key| self.dispatcher.registry.load(&bound, key);
         let key = self
             .with_rng(|rng| choose_upstream(&snapshot, serving, local_zone, &tried, load, rng))?;
-        Some((snapshot.upstreams.at(key).name.clone(), Arc::clone(bound.upstream_handle(key))))
+        Some(Arc::clone(bound.upstream_handle(key)))
     }
 
     /// Builds the response to a request that failed, and counts its outcome.
@@ -344,8 +308,3 @@
 pub fn unknown_outcome(unknown: Unknown) -> Failure {
     Box::new(Outcome::Unknown(unknown))
 }
-
-/// Tells whether a request that got this status may succeed on another upstream.
-fn is_retryable(status: http::StatusCode) -> bool {
-    matches!(status.as_u16(), 429 | 500 | 502 | 503 | 504)
-}
--- a/crates/fescuelock-router/src/relay.rs
+++ b/crates/fescuelock-router/src/relay.rs
@@ -1,6 +1,7 @@
 //! Forwards a streamed response from an engine to a caller and resumes it on another engine if the
 //! stream breaks off.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,16 +16,19 @@
 use fescuelock_upstreams::dispatch::AnsweredAttempt;
 use fescuelock_upstreams::events::StreamReader;
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::time::timeout;
 
-use crate::chat::{PlacedRequest, record_bill, record_invalid_response, stream_ids};
+use crate::attempts::Attempts;
+use crate::chat::{PlacedRequest, record_bill, record_invalid_response};
 use crate::handler::{InFlightGuard, RequestHandler};
+use crate::segment::{self, Segment, Silence};
 
 /// `Relay` forwards the response to one streamed request.
 pub struct Relay {
     handler: Arc<RequestHandler>,
     placed: PlacedRequest,
-    tried: Vec<String>,
+    attempts: Attempts,
     sender: BodySender,
     resumed_after: Option<Continuation>,
     // Counts the request as in flight until the stream has ended.
@@ -38,7 +42,32 @@
     /// The caller disconnected.
     Abandoned(Usage),
     /// The segment ended before the response was complete.
-    Cut(RequestProgress<Sent>, UnknownCause, Continuation),
+    Cut(Cut),
+    /// Another engine has gone on with the stream.
+    Replaced(Box<Segment>),
+    /// The stream cannot go on.
+    Lost(UnknownCause),
+}
+
+/// `Cut` describes a segment that ended before the response was complete.
+struct Cut {
+    attempt: RequestProgress<Sent>,
+    cause: UnknownCause,
+    reader: StreamReader,
+}
+
+/// `Step` is what happened next to a stream.
+enum Step {
+    /// The engine sent data.
+    Chunk(Bytes),
+    /// The engine broke off.
+    Cut,
+    /// Another engine has gone on, because this one was silent.
+    Replaced(Box<Segment>),
+    /// The time of the stream is over without another event.
+    Silent,
+    /// The caller disconnected.
+    CallerDisconnected,
 }
 
 impl Relay {
@@ -47,13 +76,13 @@
         handler: Arc<RequestHandler>,
         placed: PlacedRequest,
         in_flight_guard: InFlightGuard,
-        tried: Vec<String>,
+        attempts: Attempts,
         sender: BodySender,
     ) -> Self {
         Relay {
             handler,
             placed,
-            tried,
+            attempts,
             sender,
             resumed_after: None,
             _in_flight_guard: in_flight_guard,
@@ -62,59 +91,43 @@
 
     /// Forwards the stream to its end, over as many engines as it takes.
     pub async fn run(mut self, first: AnsweredAttempt) {
-        let mut reader = StreamReader::new(self.placed.id, self.stream_ids_of(&first));
-        let mut answered = first;
+        let mut segment = Segment::first(&self.handler, &self.placed, first);
         loop {
-            match self.forward_segment(answered, &mut reader).await {
+            let end = match self.forward_segment(segment).await {
+                SegmentEnd::Cut(cut) => self.resume(cut).await,
+                end => end,
+            };
+            match end {
                 SegmentEnd::Complete(usage) => return self.finish(usage).await,
 
                 SegmentEnd::Abandoned(usage) => return self.finish_abandoned(usage).await,
 
-                SegmentEnd::Cut(attempt, cause, generated) => {
-                    match self.resume(attempt, cause, generated).await {
-                        Some(next) => {
-                            reader.resume(self.placed.id, self.stream_ids_of(&next));
-                            answered = next;
-                        }
+                SegmentEnd::Replaced(next) => {
+                    self.handler.counters.count(Counter::StreamsResumed);
+                    self.resumed_after.clone_from(&next.continues);
+                    segment = *next;
+                }
 
-                        None => return self.finish_with_error(cause).await,
-                    }
+                SegmentEnd::Cut(Cut { cause, .. }) | SegmentEnd::Lost(cause) => {
+                    return self.finish_with_error(cause).await;
                 }
             }
         }
     }
 
     /// Forwards the segment of the stream that one engine sends.
-    async fn forward_segment(
-        &self,
-        answered: AnsweredAttempt,
-        reader: &mut StreamReader,
-    ) -> SegmentEnd {
-        let ids = self.stream_ids_of(&answered);
-        let AnsweredAttempt { attempt, response, connection, in_flight } = answered;
-        let idle_timeout = Duration::from_millis(self.handler.options.stream_idle_ms);
-        let mut body = response.into_body();
+    async fn forward_segment(&mut self, segment: Segment) -> SegmentEnd {
+        let Segment {
+            attempt, mut body, connection, in_flight, ids, mut reader, mut batch, ..
+        } = segment;
         let cause = loop {
-            let frame = tokio::select! {
-                biased;
-                () = self.sender.closed() => return SegmentEnd::Abandoned(self.total_usage(reader)),
-                frame = timeout(idle_timeout, body.frame()) => frame,
-            };
-            let chunk = match frame {
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(Some(Err(_)) | None) => break UnknownCause::AnswerCut,
-                Err(_) => break UnknownCause::AnswerTimeout,
-            };
-            let batch = match reader.read(&chunk) {
-                Ok(batch) => batch,
-                Err(error) => break record_invalid_response(&self.handler, &error),
-            };
             if !batch.events.is_empty() && !self.sender.send(batch.events).await {
-                return SegmentEnd::Abandoned(self.total_usage(reader));
+                return SegmentEnd::Abandoned(self.total_usage(&reader));
             }
             // `[DONE]` without a `finish_reason` before it ends a truncated response.
             match batch.ended {
                 true if reader.has_finish_reason() => {
+                    let idle_timeout = Duration::from_millis(self.handler.options.stream_idle_ms);
                     // Without ids of requests, a stream could not be told from a stray one.
                     let has_request_id = ids == ResponseIdSource::Echoed;
                     if let Ok(None) = timeout(idle_timeout, body.frame()).await
@@ -122,40 +135,100 @@
                     {
                         in_flight.upstream_handle().pool.checkin(connection);
                     }
-                    return SegmentEnd::Complete(self.total_usage(reader));
+                    return SegmentEnd::Complete(self.total_usage(&reader));
                 }
 
                 true => break UnknownCause::AnswerCut,
 
                 false => {}
             }
+            let chunk = match self.next_step(&mut body, &reader).await {
+                Step::Chunk(chunk) => chunk,
+
+                Step::Cut => break UnknownCause::AnswerCut,
+
+                Step::Replaced(next) => {
+                    self.handler.dispatcher.record_failure(in_flight.upstream_handle());
+                    return SegmentEnd::Replaced(next);
+                }
+
+                Step::Silent => {
+                    self.handler.dispatcher.record_failure(in_flight.upstream_handle());
+                    return SegmentEnd::Lost(UnknownCause::AnswerTimeout);
+                }
+
+                Step::CallerDisconnected => {
+                    return SegmentEnd::Abandoned(self.total_usage(&reader));
+                }
+            };
+            batch = match reader.read(&chunk) {
+                Ok(batch) => batch,
+                Err(error) => break record_invalid_response(&self.handler, &error),
+            };
         };
         self.handler.dispatcher.record_failure(in_flight.upstream_handle());
-        SegmentEnd::Cut(attempt, cause, reader.continuation())
+        SegmentEnd::Cut(Cut { attempt, cause, reader })
     }
 
-    /// Asks another engine for the rest of the response.
-    async fn resume(
-        &mut self,
-        attempt: RequestProgress<Sent>,
-        cause: UnknownCause,
-        generated: Continuation,
-    ) -> Option<AnsweredAttempt> {
-        let continuation = (generated.tokens > 0).then_some(&generated);
-        let build = || self.placed.request.to_http(continuation);
+    /// Waits for the next data of the stream, or for a second engine if this one is silent.
+    async fn next_step(&mut self, body: &mut Incoming, reader: &StreamReader) -> Step {
+        let Relay { handler, placed, attempts, sender, .. } = self;
+        let kept = attempts.tried().len();
+        let silence = Silence::default();
+        let step = {
+            let mut second =
+                pin!(segment::wait_for_second(handler, placed, attempts, reader, &silence));
+            let mut is_first_over = false;
+            loop {
+                tokio::select! {
+                    biased;
+                    () = sender.closed() => break Step::CallerDisconnected,
+                    frame = body.frame(), if !is_first_over => match frame {
+                        Some(Ok(frame)) => {
+                            break Step::Chunk(frame.into_data().unwrap_or_default());
+                        }
+
+                        Some(Err(_)) | None if silence.is_second_under_way() => {
+                            // The second engine is all that is left of the stream.
+                            silence.end_first();
+                            is_first_over = true;
+                        }
+
+                        Some(Err(_)) | None => break Step::Cut,
+                    },
+                    next = &mut second => match next {
+                        Some(next) => break Step::Replaced(next),
+                        None if is_first_over => break Step::Cut,
+                        None => break Step::Silent,
+                    },
+                }
+            }
+        };
+        if silence.is_begun() {
+            let counter = match step {
+                Step::Chunk(_) => Counter::SilencesEnded,
+                Step::Replaced(_) => Counter::SilencesReplaced,
+                Step::Cut | Step::Silent | Step::CallerDisconnected => Counter::SilencesLost,
+            };
+            handler.counters.count(counter);
+        }
+        if let Step::Chunk(_) = step {
+            attempts.forget_cancelled(kept);
+        }
+        step
+    }
+
+    /// Asks another engine for the rest of a stream that was cut.
+    async fn resume(&mut self, cut: Cut) -> SegmentEnd {
+        let Cut { attempt, cause, reader } = cut;
+        let Relay { handler, placed, attempts, sender, .. } = self;
         let progress = attempt.retry(Retryable, cause);
-        let assignment = &self.placed.assignment;
-        let answered = self
-            .handler
-            .dispatch(progress, assignment, &mut self.tried, build, Some(Retryable))
-            .await
-            .ok()?;
-        if !answered.response.status().is_success() {
-            return None;
+        let asking = segment::ask_for_rest(handler, placed, attempts, &reader, progress, false);
+        tokio::select! {
+            biased;
+            () = sender.closed() => SegmentEnd::Abandoned(self.total_usage(&reader)),
+            next = asking => next.map_or(SegmentEnd::Lost(cause), SegmentEnd::Replaced),
         }
-        self.handler.counters.count(Counter::StreamsResumed);
-        self.resumed_after = Some(generated);
-        Some(*answered)
     }
 
     /// Bills the request and ends the stream with its usage, version and cost.
@@ -203,8 +276,4 @@
         };
         Usage { input_tokens, output_tokens }
     }
-
-    fn stream_ids_of(&self, answered: &AnsweredAttempt) -> ResponseIdSource {
-        stream_ids(&self.handler, &answered.in_flight.upstream_handle().name)
-    }
 }
--- a/crates/fescuelock-router/src/service.rs
+++ b/crates/fescuelock-router/src/service.rs
@@ -25,6 +25,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
+use crate::attempts::Attempts;
 use crate::handler::{
     AdmittedRequest, Failure, InFlightGuard, RequestHandler, identify, refuse, unknown_outcome,
 };
@@ -232,12 +233,12 @@
     call: &ServiceCall,
     attempt: RequestProgress<Unsent>,
 ) -> Result<ServiceResponse, Failure> {
-    let mut tried = Vec::new();
+    let mut attempts = Attempts::default();
     let mut progress = PendingRequest::Unsent(attempt);
     loop {
         let build = || build_request(call);
         let answered = handler
-            .dispatch(progress, &call.assignment, &mut tried, build, call.repeatable)
+            .dispatch(progress, &call.assignment, &mut attempts, build, call.repeatable)
             .await?;
         let AnsweredAttempt { attempt, response, connection, in_flight } = *answered;
         let (head, body) = response.into_parts();
@@ -260,7 +261,7 @@
         };
         handler.dispatcher.record_failure(in_flight.upstream_handle());
         match call.repeatable {
-            Some(repeatable) if tried.len() < handler.options.attempts_max as usize => {
+            Some(repeatable) if attempts.is_left(handler.options.attempts_max) => {
                 progress = attempt.retry(repeatable, cause);
             }
 
--- a/crates/fescuelock-upstreams/src/events.rs
+++ b/crates/fescuelock-upstreams/src/events.rs
@@ -31,7 +31,7 @@
 }
 
 /// `StreamReader` splits a stream into events and checks that all belong to one answer.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct StreamReader {
     expected_id: Option<Vec<u8>>,
     buffer: BytesMut,
--- a/scripts/break-promises.sh
+++ b/scripts/break-promises.sh
@@ -68,8 +68,8 @@
 break_promise "an end marker alone ends an answer" $router/relay.rs \
     'true if reader.has_finish_reason() => {' 'true if reader.has_finish_reason() || batch.ended => {'
 break_promise "a clean close ends an answer" $router/relay.rs \
-    'Ok(Some(Err(_)) | None) => break UnknownCause::AnswerCut,' \
-    'Ok(Some(Err(_)) | None) => return SegmentEnd::Complete(self.total_usage(reader)),'
+    'Step::Cut => break UnknownCause::AnswerCut,' \
+    'Step::Cut => return SegmentEnd::Complete(self.total_usage(&reader)),'
 break_promise "an answer's id is not checked" $upstreams/events.rs \
     'Some(_) => Err(Error::IdMismatch),' 'Some(_) => Ok(()),'
 break_promise "a whole answer's id is not checked" $upstreams/chat.rs \
