router: Send nothing to upstreams that ask for a pause

An upstream behind the product's own front that answered 503 with a Retry-After got requests again after a second (nothing_until_then: next one after 1.1 s of the stated 10 s), all that had waited at once (returns_step_by_step: 10, 10, 10 in place of 1, 2, 4), and callers were not told when to return (refused_at_once: sent and run in place of refused).

Cause: only the platform's gateway used `policy::pause`.

`Registry` keeps a `Pause` for each upstream, the placement leaves upstreams out that pause or return, and `Dispatcher::send` checks again once the connection is open. While all upstreams that could take a request pause, it is refused at once as not run, with the code `overloaded` and a Retry-After from `admission::retry_after_ms`. A pause is no failure of its upstream. A 503 that may belong to an earlier request on its connection begins none, and the next one on a new connection does (reused_connection). Counters: `pauses`, `pauses.ended`.

Failed before in upstream_pauses.rs: nothing_until_then, refused_at_once, returns_step_by_step. no_pause_asked passed; reused_connection was written after the change. All five pass.

--- a/crates/fescuelock-callers/src/responses.rs
+++ b/crates/fescuelock-callers/src/responses.rs
@@ -45,7 +45,12 @@
         not_run: true,
         request_id: id.to_string(),
     };
-    error_response(refusal.status(), fields)
+    let mut response = error_response(refusal.status(), fields);
+    if let Some(retry_after_ms) = refusal.retry_after_ms() {
+        let seconds = retry_after_ms.div_ceil(1_000);
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
 }
 
 /// Builds the response to a request that an upstream may have executed.
--- a/crates/fescuelock-core/src/counters.rs
+++ b/crates/fescuelock-core/src/counters.rs
@@ -57,6 +57,10 @@
     SilencesLost => "silences.lost",
     /// Requests that were sent to another upstream beside one that was silent.
     SecondSends => "second_sends",
+    /// Pauses for which upstreams asked.
+    Pauses => "pauses",
+    /// Pauses after which an upstream got its first request.
+    PausesEnded => "pauses.ended",
     /// Connections opened to upstreams.
     UpstreamConnects => "upstream.connects",
     /// Failed connects to upstreams and requests that failed on a connection, including timeouts.
--- a/crates/fescuelock-core/src/refusal.rs
+++ b/crates/fescuelock-core/src/refusal.rs
@@ -66,6 +66,14 @@
     /// None of the upstreams that were tried could be reached.
     #[error("no upstream of `{0}` could be reached")]
     Unreachable(String),
+    /// All upstreams that could take the request have stated that they want none for a while.
+    #[error("all upstreams of `{name}` take no requests for now")]
+    Paused {
+        /// Name of the version or service.
+        name: String,
+        /// Time after which the caller may try again, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The call may not be retried and the platform could not record its claim (see
     /// [`claim_key`](crate::claim_key)).
     #[error("the platform could not record the claim that this call needs")]
@@ -108,7 +116,7 @@
             Refusal::KeyReused => "key_reused",
             Refusal::PromptRejected => "prompt_rejected",
             Refusal::NotReady => "not_ready",
-            Refusal::Overloaded => "overloaded",
+            Refusal::Overloaded | Refusal::Paused { .. } => "overloaded",
         }
     }
 
@@ -132,7 +140,16 @@
             | Refusal::ClaimUnavailable
             | Refusal::PromptRejected
             | Refusal::NotReady
+            | Refusal::Paused { .. }
             | Refusal::Overloaded => 503,
         }
     }
+
+    /// Returns the time after which the caller may try again, in milliseconds, if it is known.
+    pub fn retry_after_ms(&self) -> Option<u64> {
+        match self {
+            Refusal::Paused { retry_after_ms, .. } => Some(*retry_after_ms),
+            _ => None,
+        }
+    }
 }
--- a/crates/fescuelock-load/src/caller.rs
+++ b/crates/fescuelock-load/src/caller.rs
@@ -102,6 +102,8 @@
     pub is_misdelivered: bool,
     /// Whether the answer is a replay of the result of an earlier request with the same key.
     pub replayed: bool,
+    /// Time after which the router asks the caller to come back, in seconds.
+    pub retry_after_s: Option<u64>,
     /// Cost, in millionths of the currency unit.
     pub cost_micros: u64,
     /// Time to the first token, in microseconds.
@@ -310,6 +312,7 @@
     reply.version = text(headers::VERSION);
     reply.session = Some(text(headers::SESSION)).filter(|token| !token.is_empty());
     reply.replayed = text(headers::REPLAYED) == "true";
+    reply.retry_after_s = text(header::RETRY_AFTER.as_str()).parse().ok();
     reply.cost_micros = text(headers::COST_MICROS).parse().unwrap_or(0);
 }
 
--- a/crates/fescuelock-router/src/attempts.rs
+++ b/crates/fescuelock-router/src/attempts.rs
@@ -8,6 +8,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use fescuelock_callers::headers;
 use fescuelock_core::counters::Counter;
 use fescuelock_core::outcome::{
     Outcome, PendingRequest, RequestProgress, Retryable, Sent, Unknown, UnknownCause,
@@ -48,7 +49,7 @@
     Answered(R),
     /// Nothing was written to the upstream.
     NotSent(PendingRequest),
-    /// The current rules no longer allow it.
+    /// The current rules no longer allow it, or the upstream pauses.
     Refused(PendingRequest, Refusal),
     /// The request may have reached the upstream, but there is no usable answer.
     Lost(RequestProgress<Sent>, UnknownCause),
@@ -203,7 +204,13 @@
                         race.push(upstream, Box::pin(sending));
                     }
 
-                    None if race.attempts.is_empty() => return Err(Box::new(pending.end(refusal))),
+                    None if race.attempts.is_empty() => {
+                        // Upstreams that could not be reached are no pause.
+                        let is_paused =
+                            attempts.sends == 0 || matches!(refusal, Refusal::Paused { .. });
+                        let paused = is_paused.then(|| self.paused_refusal(assignment)).flatten();
+                        return Err(Box::new(pending.end(paused.unwrap_or(refusal))));
+                    }
 
                     None => may_send_second = false,
                 }
@@ -237,7 +244,8 @@
 
                 AttemptEnd::Refused(unsent, reason) => {
                     // Another upstream of the version may still accept new requests.
-                    let is_final = !matches!(reason, Refusal::NoUpstream(_));
+                    let is_final =
+                        !matches!(reason, Refusal::NoUpstream(_) | Refusal::Paused { .. });
                     if is_final && race.attempts.is_empty() {
                         return Err(Box::new(unsent.end(reason)));
                     }
@@ -271,16 +279,21 @@
         repeatable: Option<Retryable>,
         accept: &impl Fn(Box<AnsweredAttempt>) -> F,
     ) -> AttemptEnd<R> {
+        let request_id = request.headers().get(headers::REQUEST_ID).cloned();
         match self.dispatcher.send(pending, &upstream, assignment, request).await {
-            AttemptResult::Answered(answered)
-                if repeatable.is_some() && is_retryable(answered.response.status()) =>
-            {
-                self.dispatcher.record_failure(&upstream);
+            AttemptResult::Answered(answered) => {
+                let request_id = request_id.as_ref().and_then(|id| id.to_str().ok());
+                let is_pause = self.record_pause(request_id.unwrap_or_default(), &answered);
+                if repeatable.is_none() || !is_retryable(answered.response.status()) {
+                    return accept(answered).await;
+                }
+                // An upstream that asks for a pause is sound.
+                if !is_pause {
+                    self.dispatcher.record_failure(&upstream);
+                }
                 AttemptEnd::Lost(answered.attempt, UnknownCause::AnswerInvalid)
             }
 
-            AttemptResult::Answered(answered) => accept(answered).await,
-
             AttemptResult::NotSent(unsent) => AttemptEnd::NotSent(unsent),
 
             AttemptResult::Refused(unsent, reason) => AttemptEnd::Refused(unsent, reason),
--- a/crates/fescuelock-router/src/chat.rs
+++ b/crates/fescuelock-router/src/chat.rs
@@ -166,7 +166,7 @@
         let ids = stream_ids(handler, &in_flight.upstream_handle().name);
         let status = response.status();
         let content_type = response.headers().get(header::CONTENT_TYPE).cloned();
-        let identity = identify(placed.id, response.headers(), &connection);
+        let identity = identify(&placed.id.to_string(), response.headers(), &connection);
         let body = read_all(response.into_body(), handler.options.answer_max_bytes).await;
         let checked = match body {
             // Engines don't put the id into the body of an error.
@@ -243,7 +243,7 @@
             .dispatch(progress, &placed.assignment, &mut attempts, build, Some(Retryable))
             .await?;
         let head = &answered.response;
-        let identity = identify(placed.id, head.headers(), &answered.connection);
+        let identity = identify(&placed.id.to_string(), head.headers(), &answered.connection);
         // The events of a stream carry its id, an error doesn't.
         if head.status().is_success() || identity.is_accepted() {
             break answered;
--- a/crates/fescuelock-router/src/handler.rs
+++ b/crates/fescuelock-router/src/handler.rs
@@ -26,14 +26,16 @@
 use fescuelock_http::pool::Connection;
 use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::Handler;
+use fescuelock_policy::admission::{self, AdmissionContext, AdmissionOptions};
 use fescuelock_policy::answer_identity::{self, AnswerIdentity, AnswerLabels};
+use fescuelock_policy::pause::{self, PauseChange};
 use fescuelock_policy::silence::WaitLimits;
 use fescuelock_store::bills::BillRecorder;
 use fescuelock_store::claims::ClaimStore;
-use fescuelock_upstreams::dispatch::{Assignment, Dispatcher};
+use fescuelock_upstreams::dispatch::{AnsweredAttempt, Assignment, Dispatcher};
 use fescuelock_upstreams::registry::UpstreamHandle;
-use http::{HeaderMap, Method, Request, Response};
-use rand::Rng;
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
 
 use crate::attempts::Attempts;
@@ -242,12 +244,64 @@
         let local_zone = snapshot.zones.find(&self.zone);
         let tried: Vec<UpstreamKey> =
             attempts.tried().iter().filter_map(|name| snapshot.upstreams.find(name)).collect();
-        let load = |key| self.dispatcher.registry.load(&bound, key);
-        let key = self
-            .with_rng(|rng| choose_upstream(&snapshot, serving, local_zone, &tried, load, rng))?;
+        let registry = &self.dispatcher.registry;
+        let is_paused = |key: &UpstreamKey| registry.pause_wait_ms(bound.upstream_handle(*key)) > 0;
+        let paused = snapshot.upstreams_of(serving).iter().copied().filter(is_paused);
+        let excluded: Vec<UpstreamKey> = tried.into_iter().chain(paused).collect();
+        let load = |key| registry.load(&bound, key);
+        let key = self.with_rng(|rng| {
+            choose_upstream(&snapshot, serving, local_zone, &excluded, load, rng)
+        })?;
         Some(Arc::clone(bound.upstream_handle(key)))
     }
 
+    /// Returns the refusal of a request if all upstreams that could take it pause, tried or not.
+    pub fn paused_refusal(&self, assignment: &Assignment) -> Option<Refusal> {
+        let snapshot = self.config.current();
+        let bound = self.dispatcher.registry.table_for(&snapshot);
+        let serving = snapshot.find_workload(&assignment.serving)?;
+        let available = snapshot.upstreams_of(serving).iter().copied();
+        let waits_ms = available
+            .filter(|key| snapshot.is_available(*key))
+            .map(|key| self.dispatcher.registry.pause_wait_ms(bound.upstream_handle(key)));
+        let first_ms = waits_ms.min().filter(|wait_ms| *wait_ms > 0)?;
+        let context = AdmissionContext {
+            time_to_capacity_ms: None,
+            paused_ms: Some(first_ms as f64),
+            waited_ms: 0.0,
+            target_ms: self.options.answer_timeout_ms as f64,
+            deadline_left_ms: 0.0,
+            queued_requests: 0,
+        };
+        let draw = self.with_rng(|rng| rng.random::<f64>());
+        let retry_after_ms =
+            admission::retry_after_ms(&context, &AdmissionOptions::default(), draw) as u64;
+        Some(Refusal::Paused { name: assignment.serving.clone(), retry_after_ms })
+    }
+
+    /// Records the pause for which an upstream asks in its response. Returns whether it asks for one.
+    /// A response that may belong to an earlier request says nothing.
+    pub fn record_pause(&self, request_id: &str, answered: &AnsweredAttempt) -> bool {
+        let AnsweredAttempt { response, connection, in_flight, .. } = answered;
+        let is_unavailable = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        let stated = response.headers().get(header::RETRY_AFTER);
+        let stated_ms = stated
+            .and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok())
+            .map(|seconds| seconds * 1_000.0);
+        let is_accepted = identify(request_id, response.headers(), connection).is_accepted();
+        let requested_ms = pause::requested_pause_ms(is_unavailable, stated_ms);
+        let Some(pause_ms) = requested_ms.filter(|_| is_accepted) else {
+            return false;
+        };
+        let spread = self.with_rng(|rng| rng.random::<f64>());
+        let upstream = in_flight.upstream_handle();
+        match self.dispatcher.registry.pause(upstream, pause_ms, spread) {
+            Some(PauseChange::Begun(_)) => self.counters.count(Counter::Pauses),
+            Some(PauseChange::Lengthened(_)) | None => {}
+        }
+        true
+    }
+
     /// Builds the response to a request that failed, and counts its outcome.
     pub fn fail(&self, id: RequestId, failure: Failure) -> Response<Body> {
         let counter = match *failure {
@@ -287,13 +341,13 @@
 /// Returns how far a response is known to belong to a request. Upstreams repeat the id of the
 /// request in a header, or engines in the body only.
 pub fn identify(
-    id: RequestId,
+    request_id: &str,
     response_headers: &HeaderMap,
     connection: &Connection,
 ) -> AnswerIdentity {
     let echoed_id = response_headers.get(headers::REQUEST_ID).and_then(|id| id.to_str().ok());
     answer_identity::identify(&AnswerLabels {
-        request_id: Some(&id.to_string()),
+        request_id: Some(request_id),
         echoed_id,
         is_connection_reused: connection.is_reused(),
     })
--- a/crates/fescuelock-router/src/service.rs
+++ b/crates/fescuelock-router/src/service.rs
@@ -242,7 +242,7 @@
             .await?;
         let AnsweredAttempt { attempt, response, connection, in_flight } = *answered;
         let (head, body) = response.into_parts();
-        let identity = identify(call.id, &head.headers, &connection);
+        let identity = identify(&call.id.to_string(), &head.headers, &connection);
         let cause = match read_all(body, handler.options.answer_max_bytes).await {
             Ok(_) if !identity.is_accepted() => {
                 handler.counters.count(Counter::AnswersCrossed);
--- a/crates/fescuelock-upstreams/src/dispatch.rs
+++ b/crates/fescuelock-upstreams/src/dispatch.rs
@@ -12,7 +12,7 @@
 use fescuelock_http::body::Body;
 use fescuelock_http::pool::Connection;
 use fescuelock_http::{Error as HttpError, Result as HttpResult};
-use http::{Request, Response, header};
+use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
 use crate::registry::{InFlightGuard, Registry, UpstreamHandle};
@@ -67,7 +67,7 @@
 pub enum AttemptResult {
     /// The response head has arrived.
     Answered(Box<AnsweredAttempt>),
-    /// The current rules no longer allow the attempt.
+    /// The current rules no longer allow the attempt, or the upstream pauses.
     Refused(PendingRequest, Refusal),
     /// Nothing was written to the upstream.
     NotSent(PendingRequest),
@@ -112,11 +112,27 @@
                 return AttemptResult::Refused(progress, refusal);
             }
         };
+        let sent = match self.registry.try_send(upstream) {
+            Ok(sent) => sent,
+
+            Err(retry_after_ms) => {
+                upstream.pool.checkin(connection);
+                let name = assignment.serving.clone();
+                return AttemptResult::Refused(progress, Refusal::Paused { name, retry_after_ms });
+            }
+        };
+        if sent.is_first {
+            self.counters.count(Counter::PausesEnded);
+        }
         let first_send = progress.is_unsent();
         let attempt = progress.send(&permit);
         match connection.send(request, assignment.answer_timeout_ms).await {
             Ok(response) => {
                 self.registry.mark_healthy(upstream);
+                let status = response.status();
+                if !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS {
+                    self.registry.record_answer(upstream, sent.sent_ms);
+                }
                 AttemptResult::Answered(Box::new(AnsweredAttempt {
                     attempt,
                     response,
--- a/crates/fescuelock-upstreams/src/registry.rs
+++ b/crates/fescuelock-upstreams/src/registry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use fescuelock_core::arena::ArenaKey;
 use fescuelock_core::ids::{Generation, UpstreamKey};
@@ -10,6 +10,7 @@
 use fescuelock_core::rules::{ConfigSnapshot, Protocol, Upstream};
 use fescuelock_http::net::SharedNetwork;
 use fescuelock_http::pool::{HttpVersion, Pool, PoolOptions};
+use fescuelock_policy::pause::{Pause, PauseChange};
 use tokio::time::Instant;
 
 /// `RegistryOptions` configures connections to upstreams and how long failed ones are avoided.
@@ -36,6 +37,7 @@
     protocol: Protocol,
     in_flight: AtomicU32,
     suspect_until_ms: AtomicU64,
+    pause: Mutex<Pause>,
 }
 
 /// `InFlightGuard` counts one request as in flight on an upstream until it is dropped.
@@ -43,6 +45,15 @@
     handle: Arc<UpstreamHandle>,
 }
 
+/// `SendAfterPause` describes a send to an upstream that may have paused.
+#[derive(Debug, Clone, Copy)]
+pub struct SendAfterPause {
+    /// Time of the send since the start of the registry, in milliseconds.
+    pub sent_ms: u64,
+    /// Whether it is the first one after a pause.
+    pub is_first: bool,
+}
+
 /// `Registry` tracks the upstreams of the current configuration.
 pub struct Registry {
     network: SharedNetwork,
@@ -94,6 +105,47 @@
         handle.suspect_until_ms.store(0, Ordering::Relaxed);
     }
 
+    /// Records that an upstream asks for a pause of `pause_ms`, which is lengthened by a share that
+    /// `spread` in [0, 1) determines.
+    pub fn pause(
+        &self,
+        handle: &UpstreamHandle,
+        pause_ms: u64,
+        spread: f64,
+    ) -> Option<PauseChange> {
+        handle.pause().extend(pause_ms, spread, self.elapsed_ms())
+    }
+
+    /// Records an answer that is neither a rejection nor an error, to a request that was sent at
+    /// `sent_ms` after the start of the registry.
+    pub fn record_answer(&self, handle: &UpstreamHandle, sent_ms: u64) {
+        handle.pause().record_answer(sent_ms, self.elapsed_ms());
+    }
+
+    /// Returns the time until a request may be sent to an upstream that paused, in milliseconds.
+    pub fn pause_wait_ms(&self, handle: &UpstreamHandle) -> u64 {
+        handle.pause().wait_ms(self.elapsed_ms())
+    }
+
+    /// Records a send, unless the upstream pauses.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until a request may be sent, in milliseconds.
+    pub fn try_send(&self, handle: &UpstreamHandle) -> std::result::Result<SendAfterPause, u64> {
+        let now_ms = self.elapsed_ms();
+        let mut pause = handle.pause();
+        match pause.wait_ms(now_ms) {
+            0 => {
+                pause.record_send(now_ms);
+                let is_first = pause.take_ended(now_ms);
+                Ok(SendAfterPause { sent_ms: now_ms, is_first })
+            }
+
+            wait_ms => Err(wait_ms),
+        }
+    }
+
     fn elapsed_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
@@ -125,6 +177,7 @@
             protocol: upstream.protocol,
             in_flight: AtomicU32::new(0),
             suspect_until_ms: AtomicU64::new(0),
+            pause: Mutex::default(),
         }
     }
 }
@@ -137,6 +190,10 @@
 }
 
 impl UpstreamHandle {
+    fn pause(&self) -> MutexGuard<'_, Pause> {
+        self.pause.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn has_same_endpoint(&self, upstream: &Upstream) -> bool {
         self.pool.address() == upstream.address && self.protocol == upstream.protocol
     }
