gateway: End a stream at its deadline when its caller does not read

A caller that read nothing more of its stream kept the request in flight, its engine's connection open and one of the node's places for requests taken, for as long as its connection was open: the relay waited for room in the response body without regard to the deadline, and so did the abort that follows a cut.

stream_not_read in slow_callers.rs, failed before: "held past the deadline, left: 1, right: 0" requests in flight 250 ms after the deadline; passes now.

--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use crate::crashes;
 use crate::dispatch::{self, AttemptOptions, UpstreamResponse, ms_until};
@@ -50,6 +50,10 @@
 /// Interval at which placement of an interrupted stream is retried, in milliseconds.
 const PLACEMENT_RETRY_INTERVAL_MS: u64 = 50;
 
+/// Time beyond the deadline for which a caller may still read the events before an abort, in
+/// milliseconds.
+const ABORT_GRACE_MS: u64 = 100;
+
 /// `Relay` forwards the response to one streaming request.
 struct Relay {
     node_state: Arc<NodeState>,
@@ -331,8 +335,8 @@
                 is_begun = true;
                 crashes::record_begun(&self.node_state, &self.request.parsed_headers.prompt);
             }
-            if !events.is_empty() && !self.sender.send(events).await {
-                return ForwardEnd::CallerDisconnected;
+            if let Some(end) = self.send_events(events).await {
+                return end;
             }
             if self.reader.is_invalid() {
                 break UnknownCause::AnswerInvalid;
@@ -348,6 +352,18 @@
         ForwardEnd::Cut(self.interruption(attempt, cause, &placement, is_begun))
     }
 
+    /// Sends events to the caller, which may read slowly. Returns why the relay ends if it does.
+    async fn send_events(&self, events: Bytes) -> Option<ForwardEnd> {
+        if events.is_empty() {
+            return None;
+        }
+        match timeout_at(self.request.deadline, self.sender.send(events)).await {
+            Ok(true) => None,
+            Ok(false) => Some(ForwardEnd::CallerDisconnected),
+            Err(_) => Some(ForwardEnd::DeadlineReached),
+        }
+    }
+
     /// Describes an interruption, and records it in the health of its engine.
     fn interruption(
         &self,
@@ -486,7 +502,9 @@
     async fn fail(self, reason: &'static str) {
         self.node_state.counters.count(Counter::StreamsCut);
         self.trace.finish(reason, 200, self.first_event_ms);
-        self.sender.abort().await;
+        let flush_end = self.request.deadline + Duration::from_millis(ABORT_GRACE_MS);
+        // Dropped at the end of this time, the sender aborts the body as well.
+        let _ = timeout_at(flush_end, self.sender.abort()).await;
     }
 }
 
