gateway: Refuse a request whose body arrives past the grace period

Callers that were still sending a request body when a stopping node reached the end of its grace period got 504, "the upstream did not answer in time": all requests in flight ended with an unknown outcome. Requests that may not be repeated could then not be sent again, though no upstream had seen them.

The wait for the body now ends with the grace period too, with 503 as not run. The time to retry is the default one: it is not this node that becomes ready.

body_at_end in shutdown.rs, failed before with 504; passes now.

--- a/crates/fescuelock-gateway/src/handler.rs
+++ b/crates/fescuelock-gateway/src/handler.rs
@@ -230,7 +230,9 @@
         Err(refusal) => {
             trace.add("refused", refusal.to_string());
             let retry_after_ms = match refusal {
-                Refusal::NotReady => Some(not_ready_retry_after_ms(node_state, deadline_ms)),
+                Refusal::NotReady if !node_state.stopping.is_cancelled() => {
+                    Some(not_ready_retry_after_ms(node_state, deadline_ms))
+                }
                 _ => None,
             };
             let outcome = Outcome::NotRun(RequestProgress::new().refuse(refusal));
@@ -283,7 +285,13 @@
     let timeout_ms = parsed_headers.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let deadline = arrived + Duration::from_millis(timeout_ms);
     let limit_bytes = deployment.limits.body_max_bytes;
-    let body = match timeout(Duration::from_millis(timeout_ms), read_all(body, limit_bytes)).await {
+    let reading = timeout(Duration::from_millis(timeout_ms), read_all(body, limit_bytes));
+    let read = tokio::select! {
+        biased;
+        read = reading => read,
+        () = node_state.grace_over.cancelled() => return Err(Refusal::NotReady),
+    };
+    let body = match read {
         Ok(Ok(body)) => body,
         Ok(Err(HttpError::TooLarge { limit_bytes })) => {
             return Err(Refusal::BodyTooLarge { limit_bytes });
