platform: Take no late answer of the store for that of another call

Lists and writes shared connections, and the store's answers do not tell which call they belong to. An answer that came late or once more on a connection, while the next call waited, was taken for that call's: upstreams were listed as another collection, so that all of those in use would be removed, or a refused write counted as written.

Lists and writes, of which there are few, have a connection each now.

No such answer of a store has been seen outside the tests.

--- a/crates/fescuelock-http/src/client.rs
+++ b/crates/fescuelock-http/src/client.rs
@@ -9,7 +9,7 @@
 
 use crate::body::{self, Body};
 use crate::net::SharedNetwork;
-use crate::pool::{Pool, PoolOptions};
+use crate::pool::{Connection, Pool, PoolOptions};
 use crate::{Error, Result};
 
 /// Maximum size of a response body, in bytes.
@@ -87,27 +87,56 @@
     /// Returns the error of the connection or of the response body, or [`Error::AnswerTimeout`]
     /// after `limit_ms`.
     pub async fn call(&self, call: ClientRequest) -> Result<ClientResponse> {
-        let limit = Duration::from_millis(call.limit_ms);
         let limit_ms = call.limit_ms;
-        let result = timeout(limit, self.exchange(call)).await;
+        let exchanging = async {
+            let mut connection = self.pool.checkout().await?;
+            let response = self.exchange(&mut connection, call).await?;
+            self.pool.checkin(connection);
+            Ok(response)
+        };
+        self.within(limit_ms, exchanging).await
+    }
+
+    /// Sends a request like [`Client::call`], on a new connection that is closed after the response,
+    /// so that no late or repeated response to another request is taken for this one's.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`Client::call`].
+    pub async fn call_once(&self, call: ClientRequest) -> Result<ClientResponse> {
+        let limit_ms = call.limit_ms;
+        let exchanging = async {
+            let mut connection = self.pool.open().await?;
+            self.exchange(&mut connection, call).await
+        };
+        self.within(limit_ms, exchanging).await
+    }
+
+    async fn within(
+        &self,
+        limit_ms: u64,
+        exchanging: impl Future<Output = Result<ClientResponse>>,
+    ) -> Result<ClientResponse> {
+        let result = timeout(Duration::from_millis(limit_ms), exchanging).await;
         if !matches!(result, Ok(Ok(_))) {
             self.pool.clear();
         }
         result.map_err(|_| Error::AnswerTimeout { limit_ms })?
     }
 
-    async fn exchange(&self, call: ClientRequest) -> Result<ClientResponse> {
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        call: ClientRequest,
+    ) -> Result<ClientResponse> {
         let mut request =
             Request::builder().method(call.method).uri(call.path).header(header::HOST, &self.host);
         for (name, value) in call.headers {
             request = request.header(name, value);
         }
         let request = request.body(Body::buffered(call.body))?;
-
-        let mut connection = self.pool.checkout().await?;
         let (head, body) = connection.send(request, call.limit_ms).await?.into_parts();
         let body = body::read_all(body, RESPONSE_BODY_MAX_BYTES).await?;
-        self.pool.checkin(connection);
         Ok(ClientResponse { status: head.status, headers: head.headers, body })
     }
 }
