gateway: Count no silence for time in which the node did not run

An engine that had been silent for less than 3 s was counted as failed, as cold and at times left out, if the node itself did not run meanwhile, as when its VM was paused: the time until the node went on counted as the engine's silence, while what the engine had sent was still unread. All engines of a service that were silent together were judged at once.

Time between two checks that are 500 ms or more apart, in place of 100 ms, no longer adds up to a failure.

--- a/crates/fescuelock-gateway/src/fleet.rs
+++ b/crates/fescuelock-gateway/src/fleet.rs
@@ -13,6 +13,7 @@
 use fescuelock_policy::placement::hash_name;
 use fescuelock_policy::prefill_time::PrefillTimes;
 use fescuelock_policy::prompt::Prompt;
+use fescuelock_policy::silence;
 use fescuelock_policy::stated_limit::{LimitChange, LimitReport};
 use fescuelock_policy::upstream::{UpstreamRecord, UpstreamState};
 
@@ -442,11 +443,16 @@
     }
 
     /// Returns the upstreams whose silence has just become so long that it counts as a failure, with
-    /// their ids and services.
-    pub fn take_silent_losses(&mut self, now_ms: u64) -> Vec<(UpstreamKey, String, String)> {
+    /// their ids and services. `since_check_ms` is the time since the last call.
+    pub fn take_silent_losses(
+        &mut self,
+        since_check_ms: u64,
+        now_ms: u64,
+    ) -> Vec<(UpstreamKey, String, String)> {
+        let was_stopped = silence::was_node_stopped(since_check_ms);
         let lost = self.upstreams.iter_mut().filter_map(|(&key, upstream)| {
-            let has_request = upstream.own_load(now_ms).in_flight > 0;
-            let is_lost = upstream.silence.take_loss(has_request, now_ms);
+            let has_waited = upstream.own_load(now_ms).in_flight > 0 && !was_stopped;
+            let is_lost = upstream.silence.take_loss(has_waited, now_ms);
             let record = &upstream.record;
             is_lost.then(|| (key, record.id.clone(), record.pool.clone()))
         });
--- a/crates/fescuelock-gateway/src/hedge.rs
+++ b/crates/fescuelock-gateway/src/hedge.rs
@@ -421,9 +421,10 @@
 }
 
 /// Records silences that have become so long that they count as failures of their upstreams.
-pub fn record_long_silences(node_state: &NodeState) {
+/// `since_check_ms` is the time since the last call.
+pub fn record_long_silences(node_state: &NodeState, since_check_ms: u64) {
     let now_ms = node_state.now_ms();
-    let lost = node_state.fleet().take_silent_losses(now_ms);
+    let lost = node_state.fleet().take_silent_losses(since_check_ms, now_ms);
     for (key, id, pool) in lost {
         let warmup_ms = node_state.warmup_ms(&pool);
         let is_ejected =
--- a/crates/fescuelock-gateway/src/watcher.rs
+++ b/crates/fescuelock-gateway/src/watcher.rs
@@ -367,11 +367,14 @@
 
 /// Removes upstreams whose records stay missing, until the task is dropped.
 pub async fn remove_expired(node_state: Arc<NodeState>) {
+    let mut checked_ms = node_state.now_ms();
     loop {
         sleep(Duration::from_millis(EXPIRY_CHECK_INTERVAL_MS)).await;
         let now_ms = node_state.now_ms();
+        let since_check_ms = now_ms.saturating_sub(checked_ms);
+        checked_ms = now_ms;
         crashes::announce_verdicts(&node_state);
-        hedge::record_long_silences(&node_state);
+        hedge::record_long_silences(&node_state, since_check_ms);
         pauses::record_ended(&node_state);
         let expired = node_state.fleet().remove_expired(now_ms);
         node_state.fleet().expire_leaving(now_ms);
--- a/crates/fescuelock-policy/src/silence.rs
+++ b/crates/fescuelock-policy/src/silence.rs
@@ -17,6 +17,10 @@
 /// Share of a service's upstreams above which their silence is no reason to prefer others.
 const SILENT_IGNORED_ABOVE_SHARE: f64 = 0.5;
 
+/// Time between two checks from which the node itself is taken to have been stopped, in
+/// milliseconds.
+const OWN_STOP_MIN_MS: u64 = 500;
+
 /// `HedgeTimeouts` configures when a request is sent to a second upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct HedgeTimeouts {
@@ -143,3 +147,9 @@
 pub fn should_ignore_silence(silent: usize, total: usize) -> bool {
     silent as f64 > SILENT_IGNORED_ABOVE_SHARE * total as f64
 }
+
+/// Returns whether the node itself did not run between two checks. What upstreams have sent
+/// meanwhile is unread, so that this time is no sign of their silence.
+pub fn was_node_stopped(between_checks_ms: u64) -> bool {
+    between_checks_ms >= OWN_STOP_MIN_MS
+}
