http: Close connections in order while the next request is arriving

Callers that were sending their next request when a response closed their connection got a broken pipe, and those that write before they read lost the response: data that arrives at a closed connection resets it. Only connections with a refused request were closed in order. A stopping server, a response with `connection: close` and an HTTP/1.0 caller end connections too.

What the caller still sends is now read and dropped within the same bounds wherever the server ends a connection without an error. A stop does not wait for a request that came too late, and a caller that has used up its time to send a refused body gets no more.

--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
-use crate::discard::{self, DiscardOptions, may_keep_alive};
+use crate::discard::{self, DiscardEnd, DiscardOptions, may_keep_alive};
 use crate::header_timer::HeaderTimer;
 use crate::net::{BoxFuture, BoxIo, Listener};
 use crate::panics;
@@ -178,6 +178,7 @@
         let busy_guard = Arc::new(BusyGuard { connections: busy, is_busy: AtomicBool::new(false) });
         let has_unread_data = Arc::new(AtomicBool::new(false));
         let pending_discards = Arc::new(AtomicU64::new(0));
+        let has_discard_timed_out = Arc::new(AtomicBool::new(false));
         let mut builder = http1::Builder::new();
         builder
             .timer(HeaderTimer { options: Arc::clone(&self.options) })
@@ -191,6 +192,7 @@
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&has_unread_data),
             pending_discards: Arc::clone(&pending_discards),
+            has_discard_timed_out: Arc::clone(&has_discard_timed_out),
             busy_guard: Arc::clone(&busy_guard),
         };
         let service = service_fn(move |request| Box::pin(exchange.clone().respond(request)));
@@ -208,20 +210,26 @@
             Pin::new(&mut connection).poll(context)
         })
         .await;
-        // A request head that could not be parsed has been answered, but not read to its end.
-        let has_rejected_head = ended.is_err_and(|error| error.is_parse());
-        // A stop also ends connections whose request is still being read.
-        let is_discarding = pending_discards.load(Ordering::Relaxed) > 0;
-        let has_unread_data = is_discarding || has_unread_data.load(Ordering::Relaxed);
+        let is_sending = match &ended {
+            // A request head that could not be parsed has been answered, but not read to its end.
+            Err(error) => error.is_parse(),
+            // A stop also ends connections whose request is still being read.
+            Ok(()) => {
+                pending_discards.load(Ordering::Relaxed) > 0
+                    || has_unread_data.load(Ordering::Relaxed)
+            }
+        };
+        // The caller may be sending its next request. A stop does not wait for that one.
+        let may_send = ended.is_ok() && !has_discard_timed_out.load(Ordering::Relaxed);
+        let _busy_guard = is_sending.then_some(busy_guard);
         let mut io = connection.into_parts().io.into_inner();
-        if has_rejected_head || has_unread_data {
+        if is_sending || may_send {
             let options = self.options.load_full();
             discard::close_in_order(io, &options.discard, &self.stop).await;
         } else {
             // The peer is gone if this fails.
             let _ = io.shutdown().await;
         }
-        drop(busy_guard);
     }
 
     async fn serve_http2(self, io: BoxIo, handler: Arc<impl Handler>) {
@@ -279,6 +287,8 @@
     has_unread_data: Arc<AtomicBool>,
     /// Number of request bodies that are being discarded, while the connection stays open.
     pending_discards: Arc<AtomicU64>,
+    /// Set when a request body was not read to its end in time.
+    has_discard_timed_out: Arc<AtomicBool>,
     busy_guard: Arc<BusyGuard>,
 }
 
@@ -291,6 +301,7 @@
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&self.has_unread_data),
             pending_discards: Arc::clone(&self.pending_discards),
+            has_discard_timed_out: Arc::clone(&self.has_discard_timed_out),
             busy_guard: Arc::clone(&self.busy_guard),
         }
     }
@@ -317,9 +328,13 @@
             Some(body) if may_keep_alive(&body, expects_continue, &options.discard) => {
                 let stop = self.stop;
                 let discards = self.pending_discards;
+                let has_timed_out = self.has_discard_timed_out;
                 discards.fetch_add(1, Ordering::Relaxed);
                 self.tasks.spawn(async move {
-                    discard::discard_body(body.incoming, &options.discard, &stop).await;
+                    let discarding = discard::discard_body(body.incoming, &options.discard, &stop);
+                    if discarding.await == DiscardEnd::TimedOut {
+                        has_timed_out.store(true, Ordering::Relaxed);
+                    }
                     discards.fetch_sub(1, Ordering::Relaxed);
                 });
             }
