http: Send streams to callers of HTTP/1.0 with their length

Callers of HTTP/1.0 took a stream that was cut for complete: there are no chunks in that version, so that the body ends with the connection, whether it was finished or aborted.

A streamed body is now read to its end first, up to 8 MiB, and sent with its length; one that was cut is answered with 502. These callers get no events as they come; they are not known to exist.

cut_without_chunks in streamed_bodies.rs, failed before with "HTTP/1.0 200 OK" and the chunks of an aborted body; passes now.

--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::ArcSwap;
 use fescuelock_core::tasks::TaskGroup;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use hyper::body::Incoming;
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
@@ -17,7 +17,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::Body;
+use crate::body::{Body, read_all};
 use crate::discard::{self, DiscardEnd, DiscardOptions, may_keep_alive};
 use crate::header_timer::HeaderTimer;
 use crate::net::{BoxFuture, BoxIo, Listener};
@@ -33,6 +33,9 @@
 /// the request head that are raised while a connection is open.
 const BUFFER_MIN_BYTES: usize = 128 << 10;
 
+/// Maximum size of a streamed body that is sent to a caller of HTTP/1.0, in bytes.
+const UNCHUNKED_BODY_MAX_BYTES: usize = 8 << 20;
+
 /// `Handler` handles requests.
 pub trait Handler: Send + Sync + 'static {
     /// Returns the response to one request.
@@ -266,6 +269,20 @@
     response
 }
 
+/// Reads a streamed body to its end, for a caller of HTTP/1.0. There are no chunks, so that without a
+/// length a body that was cut looks complete.
+async fn buffer_body(response: Response<Body>) -> Response<Body> {
+    let (head, body) = response.into_parts();
+    match body {
+        Body::Buffered(_) => Response::from_parts(head, body),
+
+        Body::Streamed(_) => match read_all(body, UNCHUNKED_BODY_MAX_BYTES).await {
+            Ok(bytes) => Response::from_parts(head, Body::buffered(bytes)),
+            Err(_) => empty_response(StatusCode::BAD_GATEWAY),
+        },
+    }
+}
+
 /// Returns the size of a request's line and headers, in bytes.
 fn head_bytes<B>(request: &Request<B>) -> usize {
     const LINE_EXTRA_BYTES: usize = "  HTTP/1.1\r\n\r\n".len();
@@ -314,6 +331,7 @@
         let options = self.options.load_full();
         let unread = UnreadSlot::default();
         let expects_continue = request.headers().contains_key(header::EXPECT);
+        let version = request.version();
         let request = request.map(|body| RequestBody::new(body, unread.clone()));
         let mut response = match head_bytes(&request) > options.head_max_bytes {
             true => {
@@ -322,6 +340,9 @@
             }
             false => handle(Arc::clone(&self.handler), request).await,
         };
+        if version == Version::HTTP_10 {
+            response = buffer_body(response).await;
+        }
         match unread.take() {
             None => {}
 
--- a/crates/fescuelock-http/tests/streamed_bodies.rs
+++ b/crates/fescuelock-http/tests/streamed_bodies.rs
@@ -11,6 +11,8 @@
 use fescuelock_http::request_body::RequestBody;
 use fescuelock_http::server::{Handler, Server, ServerOptions};
 use http::{Request, Response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
@@ -52,8 +54,8 @@
     }
 }
 
-/// Returns the body of a response, or `None` if it was incomplete.
-async fn fetch(version: HttpVersion, path: &str) -> Option<Bytes> {
+/// Starts a server and returns its address.
+async fn start(version: HttpVersion) -> String {
     let listener = TcpNetwork.listen("127.0.0.1:0").await.expect("listen on a loopback port");
     let address = listener.address();
     let tasks = TaskGroup::default();
@@ -63,6 +65,12 @@
         stop: CancellationToken::new(),
     };
     tasks.spawn(server.run(listener, Arc::new(Streaming)));
+    address
+}
+
+/// Returns the body of a response, or `None` if it was incomplete.
+async fn fetch(version: HttpVersion, path: &str) -> Option<Bytes> {
+    let address = start(version).await;
     let options = PoolOptions { version, ..PoolOptions::default() };
     let pool = Pool::new(TcpNetwork::shared(), address, options);
     let mut connection = pool.open().await.expect("connect to the server");
@@ -89,3 +97,22 @@
         assert_eq!(body.as_deref(), Some(b"chunkchunkchunk".as_slice()), "{version:?}");
     }
 }
+
+/// Without chunks, the end of the connection made a cut body look complete.
+#[tokio::test]
+async fn cut_without_chunks() {
+    let address = start(HttpVersion::Http1).await;
+    for (path, status, end) in [
+        ("/abort", "502", "\r\n\r\n"),
+        ("/drop", "502", "\r\n\r\n"),
+        ("/finish", "200", "chunkchunkchunk"),
+    ] {
+        let mut stream = TcpStream::connect(&address).await.expect("connect to the server");
+        let request = format!("GET {path} HTTP/1.0\r\nhost: x\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.expect("the server reads");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.expect("the server answers");
+        let is_expected = text.starts_with(&format!("HTTP/1.0 {status}")) && text.ends_with(end);
+        assert!(is_expected, "{path}: {text:?}");
+    }
+}
