router: Forward no error of an engine that was cut

Callers of a stream at the router's own front got an error of an engine that broke off within it as an empty one, framed as whole and told as run: a body that could not be read counted as empty.

Such a response now counts as cut: the stream is begun at another engine, as after an error of another request, and with no attempt left its outcome is unknown.

cut_stream_error in stray_answers.rs, failed before with (400, ""); passes now.

--- a/crates/fescuelock-load/tests/stray_answers.rs
+++ b/crates/fescuelock-load/tests/stray_answers.rs
@@ -91,3 +91,17 @@
         assert_eq!((reply.status, reply.text.as_str()), (200, "hello"), "request {index}");
     }
 }
+
+/// The error of an engine that broke off within it reached the caller as an empty one.
+#[tokio::test(start_paused = true)]
+async fn cut_stream_error() {
+    let answer = |_: &ScriptedRequest| {
+        let head = "HTTP/1.1 400 Bad Request\r\nconnection: close\r\n";
+        format!("{head}transfer-encoding: chunked\r\n\r\n5\r\n{{\"err\r\nzz\r\n")
+    };
+    let (test_cluster, _servers) = start_cluster(CHEAP_VERSION, "", answer).await;
+    let request = ChatRequest { stream: true, ..ChatRequest::default() };
+    let reply = test_cluster.caller(0, CHEAP_TEAM).chat(&request).await;
+    assert_ne!((reply.status, reply.text.as_str()), (400, ""));
+    assert_eq!(reply.status, 502);
+}
--- a/crates/fescuelock-router/src/chat.rs
+++ b/crates/fescuelock-router/src/chat.rs
@@ -241,19 +241,26 @@
         let answered = handler
             .dispatch(progress, &placed.assignment, &mut tried, build, Some(Retryable))
             .await?;
-        let head = &answered.response;
-        let identity = identify(placed.id, head.headers(), &answered.connection);
         // The events of a stream carry its id, an error doesn't.
-        if head.status().is_success() || identity.is_accepted() {
+        if answered.response.status().is_success() {
             break answered;
         }
-        handler.counters.count(Counter::AnswersCrossed);
-        handler.dispatcher.record_failure(answered.in_flight.upstream_handle());
-        progress = answered.attempt.retry(Retryable, UnknownCause::AnswerInvalid);
+        let AnsweredAttempt { attempt, response, connection, in_flight } = *answered;
+        let (head, body) = response.into_parts();
+        let is_accepted = identify(placed.id, &head.headers, &connection).is_accepted();
+        let cause = match read_all(body, handler.options.answer_max_bytes).await {
+            Ok(body) if is_accepted => return Ok(forward_error(handler, head.status, &body)),
+
+            Ok(_) => {
+                handler.counters.count(Counter::AnswersCrossed);
+                UnknownCause::AnswerInvalid
+            }
+
+            Err(_) => UnknownCause::AnswerCut,
+        };
+        handler.dispatcher.record_failure(in_flight.upstream_handle());
+        progress = attempt.retry(Retryable, cause);
     };
-    if !answered.response.status().is_success() {
-        return Ok(forward_error(handler, *answered).await);
-    }
     let (sender, body) = Body::streamed();
     let relay = Relay::new(Arc::clone(handler), placed, in_flight_guard, tried, sender);
     handler.tasks.spawn(relay.run(*answered));
@@ -264,14 +271,9 @@
 }
 
 /// Forwards an error that an engine returned.
-async fn forward_error(handler: &RequestHandler, answered: AnsweredAttempt) -> Response<Body> {
-    // The connection is not kept: the response does not carry the id of its request.
-    let AnsweredAttempt { response, connection: _connection, in_flight: _in_flight, .. } = answered;
-    let status = response.status();
-    let read = read_all(response.into_body(), handler.options.answer_max_bytes).await;
+fn forward_error(handler: &RequestHandler, status: StatusCode, body: &[u8]) -> Response<Body> {
     handler.counters.count(Counter::RequestsRan);
-    let body = String::from_utf8_lossy(&read.unwrap_or_default()).into_owned();
-    let mut response = responses::json_response(status, body);
+    let mut response = responses::json_response(status, String::from_utf8_lossy(body).into_owned());
     responses::set_header(&mut response, headers::OUTCOME, "ran");
     response
 }
