policy: Take no account of reports on leaving upstreams whose time has passed

A node that knew an upstream as leaving from a report only kept the entry until the next expiry. If the upstream's record came or returned within that time and an answer of the upstream stated that it leaves, the answer only updated the old entry, so the upstream was not marked and went on getting requests, also from the node that had passed the answer on; a later report was lost in the same way. An entry whose time has passed now counts as none.

The test answer_after_old_report failed before (one ready upstream instead of none).

--- a/crates/fescuelock-gateway/tests/leaving.rs
+++ b/crates/fescuelock-gateway/tests/leaving.rs
@@ -109,6 +109,19 @@
     }
 }
 
+/// The upstream's own answer changed nothing, since a report that no longer counted was remembered.
+#[test]
+fn answer_after_old_report() {
+    let mut fleet = fleet(0);
+    let reported = LeavingReport { incarnation: incarnation(1).hash, age_ms: 0 };
+    fleet.apply_leaving_reports(&[reported], 0);
+    fleet.upsert(record(1), false, 0, 60_000);
+    assert_eq!(fleet.ready_count(60_000), 1);
+    assert!(fleet.record_leaving(incarnation(1), 60_010));
+    assert_eq!(fleet.ready_count(60_010), 0);
+    assert_eq!(fleet.leaving_reports(false, 60_020).len(), 1);
+}
+
 /// An upstream without a start was left out for ever, though it may have started again.
 #[test]
 fn left_out_for_ever() {
--- a/crates/fescuelock-policy/src/leaving.rs
+++ b/crates/fescuelock-policy/src/leaving.rs
@@ -88,6 +88,11 @@
 }
 
 impl Entry {
+    /// Returns whether the entry counts. One that does not is the same as none until it is removed.
+    fn holds(&self, now_ms: i64) -> bool {
+        now_ms < self.holds_until_ms()
+    }
+
     fn holds_until_ms(&self) -> i64 {
         match self.source {
             LeavingSource::Report => self.stated_ms + REPORTED_RETENTION_MS,
@@ -127,14 +132,14 @@
             is_start_inferred: false,
         };
         match self.entries.get_mut(&incarnation) {
-            Some(known) => {
+            Some(known) if known.holds(now_ms) => {
                 known.source = known.source.max(source);
                 known.stated_ms = known.stated_ms.max(now_ms);
                 known.is_start_inferred = false;
                 known.news_ms = known.news_ms.filter(|_| !is_listed_leaving);
                 false
             }
-            None => self.insert(incarnation, entry),
+            _ => self.insert(incarnation, entry),
         }
     }
 
@@ -154,11 +159,13 @@
             let stated_ms = now_ms - i64::from(report.age_ms);
             let incarnation = report.incarnation;
             match self.entries.get_mut(&incarnation) {
-                Some(known) => known.stated_ms = known.stated_ms.max(stated_ms),
+                Some(known) if known.holds(now_ms) => {
+                    known.stated_ms = known.stated_ms.max(stated_ms);
+                }
 
-                None if now_ms >= stated_ms + REPORTED_RETENTION_MS => {}
+                _ if now_ms >= stated_ms + REPORTED_RETENTION_MS => {}
 
-                None => {
+                _ => {
                     let entry = Entry {
                         source: LeavingSource::Report,
                         stated_ms,
@@ -178,7 +185,7 @@
     /// Returns from where an incarnation is known to be leaving, if it is.
     pub fn source(&self, incarnation: u64, now_ms: u64) -> Option<LeavingSource> {
         let entry = self.entries.get(&incarnation)?;
-        (to_signed(now_ms) < entry.holds_until_ms()).then_some(entry.source)
+        entry.holds(to_signed(now_ms)).then_some(entry.source)
     }
 
     /// Carries what is known of an incarnation over to the hash that it has since its record names
@@ -200,7 +207,7 @@
             if listed.contains(incarnation) && !entry.is_start_inferred {
                 entry.listed_ms = now_ms;
             }
-            let is_held = now_ms < entry.holds_until_ms();
+            let is_held = entry.holds(now_ms);
             if !is_held {
                 expired.push(*incarnation);
             }
@@ -245,7 +252,8 @@
     /// the new one. Returns whether the new one was inserted.
     fn insert(&mut self, incarnation: u64, entry: Entry) -> bool {
         let weight = |entry: &Entry| (entry.source, entry.holds_until_ms());
-        if self.entries.len() >= ENTRIES_MAX {
+        let is_replaced = self.entries.contains_key(&incarnation);
+        if self.entries.len() >= ENTRIES_MAX && !is_replaced {
             let least = self.entries.iter().min_by_key(|(_, known)| weight(known));
             let (&least, known) = least.expect("a full memory has entries");
             if weight(known) > weight(&entry) {
