gateway: Count a leaving answer whose upstream's start became known meanwhile

A record without a start names another incarnation than the same record with it. An answer to a request that was sent before the start became known stated the leaving of the former, which no upstream had any more, so the upstream went on getting requests. The upstream now keeps the earlier hash, and the statement counts for its incarnation, for ten minutes as with all starts that became known later.

The test start_during_request failed before (one ready upstream instead of none).

--- a/crates/fescuelock-gateway/src/fleet.rs
+++ b/crates/fescuelock-gateway/src/fleet.rs
@@ -145,6 +145,9 @@
                 record.started_at_ms = record.started_at_ms.or(upstream.record.started_at_ms);
                 let incarnation = Incarnation::of(&record);
                 self.leaving.infer_start(upstream.incarnation.hash, incarnation.hash);
+                if incarnation.has_start && !upstream.incarnation.has_start {
+                    upstream.unstarted_hash = Some(upstream.incarnation.hash);
+                }
                 upstream.incarnation = incarnation;
                 let key = self.by_id[&record.id];
                 upstream.record = record;
@@ -200,15 +203,25 @@
     /// Records that an upstream stated in an answer that it is leaving, also if its record is gone.
     /// Returns whether the other nodes should be told.
     pub fn record_leaving(&mut self, incarnation: Incarnation, now_ms: u64) -> bool {
-        let is_listed_leaving = self.is_listed_leaving(incarnation.hash);
+        let current = self.current_hash(incarnation);
+        let is_listed_leaving = self.is_listed_leaving(current);
         let source = LeavingSource::Answer;
         let is_new = self.leaving.record(incarnation.hash, source, is_listed_leaving, now_ms);
+        self.leaving.infer_start(incarnation.hash, current);
         if is_new {
-            self.begin_leaving(&[incarnation.hash], source);
+            self.begin_leaving(&[current], source);
         }
         is_new && !is_listed_leaving
     }
 
+    /// Returns the hash of an incarnation by now. The start may have become known since a request
+    /// was sent to it.
+    fn current_hash(&self, incarnation: Incarnation) -> u64 {
+        let mut upstreams = self.upstreams.values();
+        let started = upstreams.find(|upstream| upstream.unstarted_hash == Some(incarnation.hash));
+        started.map_or(incarnation.hash, |upstream| upstream.incarnation.hash)
+    }
+
     /// Returns whether the record of an incarnation says that it is leaving.
     fn is_listed_leaving(&self, incarnation: u64) -> bool {
         let mut upstreams = self.upstreams.values();
--- a/crates/fescuelock-gateway/src/upstream.rs
+++ b/crates/fescuelock-gateway/src/upstream.rs
@@ -76,6 +76,8 @@
     pub hash: u64,
     /// Incarnation that the record describes.
     pub incarnation: Incarnation,
+    /// Hash of the incarnation before its start was known. Requests under way may carry it.
+    pub unstarted_hash: Option<u64>,
     /// Whether this incarnation is known to be leaving, whatever its record says.
     pub is_leaving: bool,
     /// Time until which the upstream counts as cold, in milliseconds of the node's clock.
@@ -133,6 +135,7 @@
         Upstream {
             hash: hash_name(&record.id),
             incarnation: Incarnation::of(&record),
+            unstarted_hash: None,
             is_leaving: false,
             cold_until_ms: now_ms + record.warmup_left_ms,
             record,
--- a/crates/fescuelock-gateway/tests/leaving.rs
+++ b/crates/fescuelock-gateway/tests/leaving.rs
@@ -109,6 +109,23 @@
     }
 }
 
+/// The start became known while a request was under way, and its answer counted for no upstream.
+#[test]
+fn start_during_request() {
+    let without_start = UpstreamRecord { started_at_ms: None, ..record(1) };
+    let mut fleet = fleet(0);
+    fleet.upsert(without_start.clone(), true, 0, 0);
+    fleet.upsert(record(1), false, 0, 10);
+    assert!(fleet.record_leaving(Incarnation::of(&without_start), 20));
+    assert_eq!(fleet.ready_count(20), 0);
+    fleet.remove("i-1", 30, 30);
+    fleet.upsert(record(1), false, 0, 40);
+    assert_eq!(fleet.ready_count(40), 0);
+    // The start may be that of a later process.
+    (0..LATER_MS).step_by(100).for_each(|now_ms| fleet.expire_leaving(now_ms));
+    assert_eq!(fleet.ready_count(LATER_MS), 1);
+}
+
 /// The upstream's own answer changed nothing, since a report that no longer counted was remembered.
 #[test]
 fn answer_after_old_report() {
