gateway: Keep the pauses of all upstreams whose records are gone

A node kept the pauses of the last 64 removed upstreams. Records expire while the store is unavailable and return within two seconds, so in a large service most pauses were lost and the node went on sending to upstreams that had asked for none. It now keeps 4,096, found by id instead of by a scan.

The test all_records_gone failed before: 64 of 2,600 upstreams paused after their records had returned.

--- a/crates/fescuelock-gateway/src/pauses.rs
+++ b/crates/fescuelock-gateway/src/pauses.rs
@@ -1,6 +1,6 @@
 //! Pauses for which upstreams ask: their state over removals of records, their log lines and counts.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, HashMap};
 
 use fescuelock_policy::pause::{self, Pause, PauseChange};
 use fescuelock_policy::placement::hash_pair;
@@ -15,19 +15,21 @@
 use crate::placement::PlacementRequest;
 use crate::upstream::{Upstream, UpstreamKey};
 
-/// Maximum number of removed upstreams of which the pause is kept.
-const REMOVED_MAX: usize = 64;
+/// Maximum number of removed upstreams of which the pause is kept. The records of all upstreams may
+/// be gone at once, since they expire while the store is unavailable.
+const REMOVED_MAX: usize = 4_096;
 
 /// `RemovedUpstreams` keeps the pauses of upstreams whose records are gone, since a record may return
 /// while the upstream runs on.
 #[derive(Debug, Default)]
 pub struct RemovedUpstreams {
-    entries: VecDeque<RemovedUpstream>,
+    entries: BTreeMap<UpstreamKey, RemovedUpstream>,
+    /// Key of the last removed upstream with an id.
+    by_id: HashMap<String, UpstreamKey>,
 }
 
 #[derive(Debug)]
 struct RemovedUpstream {
-    key: UpstreamKey,
     record: UpstreamRecord,
     pause: Pause,
 }
@@ -37,20 +39,25 @@
     /// for it, or the oldest one.
     pub fn insert(&mut self, key: UpstreamKey, upstream: Upstream, now_ms: u64) {
         if self.entries.len() >= REMOVED_MAX {
-            let unpaused = self.entries.iter().position(|entry| !entry.pause.is_paused(now_ms));
-            self.entries.remove(unpaused.unwrap_or(0));
+            let order = |(&key, entry): (&UpstreamKey, &RemovedUpstream)| {
+                (entry.pause.is_paused(now_ms), key)
+            };
+            if let Some((_, displaced)) = self.entries.iter().map(order).min()
+                && let Some(entry) = self.entries.remove(&displaced)
+                && self.by_id.get(&entry.record.id) == Some(&displaced)
+            {
+                self.by_id.remove(&entry.record.id);
+            }
         }
         let Upstream { record, pause, .. } = upstream;
-        self.entries.push_back(RemovedUpstream { key, record, pause });
+        self.by_id.insert(record.id.clone(), key);
+        self.entries.insert(key, RemovedUpstream { record, pause });
     }
 
     /// Returns the pause of an upstream that was removed and whose record is back.
     pub fn pause_of(&self, record: &UpstreamRecord) -> Option<Pause> {
-        let mut newest_first = self.entries.iter().rev();
-        let entry = newest_first.find(|entry| {
-            entry.record.id == record.id && is_same_incarnation(&entry.record, record)
-        })?;
-        Some(entry.pause.clone())
+        let entry = self.entries.get(self.by_id.get(&record.id)?)?;
+        is_same_incarnation(&entry.record, record).then(|| entry.pause.clone())
     }
 }
 
@@ -61,7 +68,7 @@
         if self.upstreams.contains_key(&key) {
             return self.upstreams.get_mut(&key).map(|upstream| &mut upstream.pause);
         }
-        let entry = self.removed.entries.iter_mut().find(|entry| entry.key == key)?;
+        let entry = self.removed.entries.get_mut(&key)?;
         let returned = self.by_id.get(&entry.record.id);
         match returned.and_then(|returned| self.upstreams.get_mut(returned)) {
             Some(upstream) if is_same_incarnation(&entry.record, &upstream.record) => {
