gateway: Begin watches anew after an outage that another watch has found

A watch that is sent in a silent outage of the store, or whose answer falls into one, may never be answered. It was given up after its wait of 16 s and 2 s more, although another watch of the node had failed and found the store back. Meanwhile the node learnt nothing of upstreams that drain. The watches under way now begin anew at the same revision when one of them finds the end of an outage, which costs up to three further calls for each outage.

The test watch_never_answered failed before: four requests reached an upstream that drained. DRAIN stays broken where none of a node's four watches fails before the upstream drains.

--- a/crates/fescuelock-gateway/src/node_state.rs
+++ b/crates/fescuelock-gateway/src/node_state.rs
@@ -68,6 +68,8 @@
     /// Whether the most recent call of the watcher that probes the store during an outage
     /// succeeded.
     pub probe_succeeds: watch::Sender<bool>,
+    /// Number of outages of the store whose end a watcher has seen.
+    pub store_outages: watch::Sender<u64>,
     /// Time of the last successful list or watch call to the store, in milliseconds of the node's
     /// clock. Other calls to the store don't set it.
     pub store_read_ms: AtomicU64,
@@ -119,6 +121,7 @@
             in_flight: Arc::default(),
             failing_collections: AtomicUsize::new(0),
             probe_succeeds: watch::Sender::new(true),
+            store_outages: watch::Sender::new(0),
             store_read_ms: AtomicU64::new(0),
             peer_reached_store_ms: AtomicU64::new(0),
             report_soon: Notify::new(),
--- a/crates/fescuelock-gateway/src/watcher.rs
+++ b/crates/fescuelock-gateway/src/watcher.rs
@@ -140,7 +140,13 @@
             Some(_) => 0,
             None => WATCH_WAIT_MAX_MS.min(history_ms as u64),
         };
-        let changes = self.store.watch(self.collection, after, wait_ms).await?;
+        let mut outages = self.node_state.store_outages.subscribe();
+        let changes = tokio::select! {
+            biased;
+            changes = self.store.watch(self.collection, after, wait_ms) => changes?,
+            // The store may never answer a watch from before the end of the outage.
+            Ok(()) = outages.changed() => return Ok(after),
+        };
         self.record_success(outage);
         let has_changed = !changes.events.is_empty();
         for event in changes.events {
@@ -197,6 +203,7 @@
         };
         let duration = since.elapsed();
         self.node_state.failing_collections.fetch_sub(1, Ordering::Relaxed);
+        self.node_state.store_outages.send_modify(|outages| *outages += 1);
         info!(self.node_state.logger, "store regained"; "collection" => ?self.collection,
             "after_ms" => u64::try_from(duration.as_millis()).unwrap_or(u64::MAX));
         // Records of live upstreams don't expire in an outage that affects this node only, since
