http: Record how the rest of an unread request ends

When a request was answered before it was read, nothing told how its rest and its connection ended. Handlers may now label a response and are told of the end. The gateway logs `request answered unread` with the request, counts `unread_requests`, and `explain` shows the line with the request.

--- a/crates/fescuelock-gateway/src/handler.rs
+++ b/crates/fescuelock-gateway/src/handler.rs
@@ -11,20 +11,22 @@
 use fescuelock_core::refusal::Refusal;
 use fescuelock_http::Error as HttpError;
 use fescuelock_http::body::{Body, read_all};
+use fescuelock_http::discard::{Discard, DiscardEnd};
 use fescuelock_http::net::BoxFuture;
 use fescuelock_http::panics;
 use fescuelock_http::request_body::RequestBody;
-use fescuelock_http::server::Handler;
+use fescuelock_http::server::{Handler, RequestLabel};
 use fescuelock_platform::protocol::{self, RequestHead};
 use fescuelock_policy::deployment::{
     Deployment, PoolKey, Route, RouteKey, TenantKey, UpstreamPool,
 };
 use fescuelock_policy::placement::hash_name;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
-use slog::error;
+use slog::{error, info};
 use tokio::time::{Instant, timeout};
 
 use crate::error_response;
+use crate::log::TAG_DETAIL;
 use crate::metrics::{LabelledCounter, LatencyHistogram};
 use crate::node_state::NodeState;
 use crate::serve::{self, RequestFailure};
@@ -192,6 +194,9 @@
             };
             let mut response = handled
                 .unwrap_or_else(|cause| respond_to_unknown(&self.node_state, id.as_ref(), cause));
+            if let Some(id) = id.as_ref().and_then(|id| id.to_str().ok()) {
+                response.extensions_mut().insert(RequestLabel(id.to_owned()));
+            }
             if self.node_state.stopping.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -199,6 +204,20 @@
             response
         })
     }
+
+    fn record_discard(&self, label: Option<&RequestLabel>, discard: Discard) {
+        let rest = match discard.end {
+            DiscardEnd::Drained => "drained",
+            DiscardEnd::TooLarge => "too_large",
+            DiscardEnd::TimedOut => "timed_out",
+        };
+        let connection = if discard.keeps_connection { "kept" } else { "closed" };
+        let labels = [("rest", rest), ("connection", connection)];
+        self.node_state.metrics.count(LabelledCounter::UnreadRequests, &labels);
+        info!(self.node_state.logger, #TAG_DETAIL, "request answered unread";
+            "request" => label.map_or("", |label| &label.0), "rest" => rest,
+            "connection" => connection);
+    }
 }
 
 /// Builds the response to a request whose handling ended early. An upstream may have run it.
--- a/crates/fescuelock-gateway/src/metrics.rs
+++ b/crates/fescuelock-gateway/src/metrics.rs
@@ -53,6 +53,9 @@
     Pauses,
     /// Upstreams that were found to be leaving, and ends of that, by state and cause.
     LeavingChanges,
+    /// Requests that were answered before they were read, by how the rest of the request and the
+    /// connection ended.
+    UnreadRequests,
 }
 
 /// `Gauge` identifies a value that is read when metrics are scraped.
@@ -106,7 +109,7 @@
 
 impl LabelledCounter {
     /// All labelled counters.
-    pub const ALL: [LabelledCounter; 10] = [
+    pub const ALL: [LabelledCounter; 11] = [
         LabelledCounter::Refusals,
         LabelledCounter::Failures,
         LabelledCounter::ModelSizes,
@@ -117,6 +120,7 @@
         LabelledCounter::SecondSends,
         LabelledCounter::Pauses,
         LabelledCounter::LeavingChanges,
+        LabelledCounter::UnreadRequests,
     ];
 
     /// Returns the exported name of the counter, without its prefix.
@@ -132,6 +136,7 @@
             LabelledCounter::SecondSends => "second_sends",
             LabelledCounter::Pauses => "pauses",
             LabelledCounter::LeavingChanges => "leaving_changes",
+            LabelledCounter::UnreadRequests => "unread_requests",
         }
     }
 }
--- a/crates/fescuelock-http/src/discard.rs
+++ b/crates/fescuelock-http/src/discard.rs
@@ -56,6 +56,15 @@
     TimedOut,
 }
 
+/// `Discard` describes how the rest of a request was discarded, for the record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Discard {
+    /// Reason of the end.
+    pub end: DiscardEnd,
+    /// Whether the connection takes further requests.
+    pub keeps_connection: bool,
+}
+
 /// Returns whether a connection may be kept open after its unread body has been discarded.
 ///
 /// A caller that waits for `100 Continue` may leave out the body after a final status, so that the
--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -3,8 +3,8 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
-use crate::discard::{self, DiscardOptions, may_keep_alive};
+use crate::discard::{self, Discard, DiscardEnd, DiscardOptions, may_keep_alive};
 use crate::header_timer::HeaderTimer;
 use crate::net::{BoxFuture, BoxIo, Listener};
 use crate::panics;
@@ -38,8 +38,17 @@
     /// Returns the response to one request.
     fn handle(self: Arc<Self>, request: Request<RequestBody>)
     -> BoxFuture<'static, Response<Body>>;
+
+    /// Records how the rest of a request was discarded that was answered before it was read. `label`
+    /// is that of its response; a request whose head could not be read has none.
+    fn record_discard(&self, _label: Option<&RequestLabel>, _discard: Discard) {}
 }
 
+/// `RequestLabel` names a request in the record of what happens after its response. Handlers may add
+/// it to the extensions of the response.
+#[derive(Debug, Clone)]
+pub struct RequestLabel(pub String);
+
 /// `ServerOptions` configures the connections of a server.
 #[derive(Debug, Clone)]
 pub struct ServerOptions {
@@ -178,6 +187,7 @@
         let busy_guard = Arc::new(BusyGuard { connections: busy, is_busy: AtomicBool::new(false) });
         let has_unread_data = Arc::new(AtomicBool::new(false));
         let pending_discards = Arc::new(AtomicU64::new(0));
+        let last_label = Arc::new(Mutex::new(None));
         let mut builder = http1::Builder::new();
         builder
             .timer(HeaderTimer { options: Arc::clone(&self.options) })
@@ -185,12 +195,13 @@
             .max_headers(options.headers_max)
             .max_buf_size(options.head_max_bytes.max(BUFFER_MIN_BYTES));
         let exchange = Exchange {
-            handler,
+            handler: Arc::clone(&handler),
             tasks: self.tasks.clone(),
             options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&has_unread_data),
             pending_discards: Arc::clone(&pending_discards),
+            last_label: Arc::clone(&last_label),
             busy_guard: Arc::clone(&busy_guard),
         };
         let service = service_fn(move |request| Box::pin(exchange.clone().respond(request)));
@@ -212,11 +223,17 @@
         let has_rejected_head = ended.is_err_and(|error| error.is_parse());
         // A stop also ends connections whose request is still being read.
         let is_discarding = pending_discards.load(Ordering::Relaxed) > 0;
-        let has_unread_data = is_discarding || has_unread_data.load(Ordering::Relaxed);
+        let has_unread_data = has_unread_data.load(Ordering::Relaxed);
         let mut io = connection.into_parts().io.into_inner();
-        if has_rejected_head || has_unread_data {
+        if has_rejected_head || has_unread_data || is_discarding {
             let options = self.options.load_full();
-            discard::close_in_order(io, &options.discard, &self.stop).await;
+            let end = discard::close_in_order(io, &options.discard, &self.stop).await;
+            let label = last_label.lock().unwrap_or_else(PoisonError::into_inner).take();
+            // A body that was already being discarded has its own record.
+            if has_rejected_head || has_unread_data {
+                let discard = Discard { end, keeps_connection: false };
+                handler.record_discard(label.as_ref(), discard);
+            }
         } else {
             // The peer is gone if this fails.
             let _ = io.shutdown().await;
@@ -279,6 +296,8 @@
     has_unread_data: Arc<AtomicBool>,
     /// Number of request bodies that are being discarded, while the connection stays open.
     pending_discards: Arc<AtomicU64>,
+    /// Label of the response that closes the connection before its request has been read.
+    last_label: Arc<Mutex<Option<RequestLabel>>>,
     busy_guard: Arc<BusyGuard>,
 }
 
@@ -291,6 +310,7 @@
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&self.has_unread_data),
             pending_discards: Arc::clone(&self.pending_discards),
+            last_label: Arc::clone(&self.last_label),
             busy_guard: Arc::clone(&self.busy_guard),
         }
     }
@@ -311,21 +331,25 @@
             }
             false => handle(Arc::clone(&self.handler), request).await,
         };
+        let label = response.extensions_mut().remove::<RequestLabel>();
         match unread.take() {
             None => {}
 
             Some(body) if may_keep_alive(&body, expects_continue, &options.discard) => {
                 let stop = self.stop;
-                let discards = self.pending_discards;
+                let (discards, handler) = (self.pending_discards, self.handler);
                 discards.fetch_add(1, Ordering::Relaxed);
                 self.tasks.spawn(async move {
-                    discard::discard_body(body.incoming, &options.discard, &stop).await;
+                    let end = discard::discard_body(body.incoming, &options.discard, &stop).await;
                     discards.fetch_sub(1, Ordering::Relaxed);
+                    let keeps_connection = end == DiscardEnd::Drained;
+                    handler.record_discard(label.as_ref(), Discard { end, keeps_connection });
                 });
             }
 
             Some(_) => {
                 self.has_unread_data.store(true, Ordering::Relaxed);
+                *self.last_label.lock().unwrap_or_else(PoisonError::into_inner) = label;
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/crates/fescuelock-operators/src/explain.rs
+++ b/crates/fescuelock-operators/src/explain.rs
@@ -20,6 +20,9 @@
     "started",
 ];
 
+/// Message of the log line about the rest of a request that was answered before it was read.
+const UNREAD_MESSAGE: &str = "request answered unread";
+
 /// `Decision` is one logged decision about a request.
 #[derive(Debug, Clone, Serialize)]
 pub struct Decision {
@@ -230,7 +233,7 @@
     /// Returns whether the line is about the request or about node state that may affect it.
     fn is_relevant(&self, request_id: &str) -> bool {
         match self.message.as_str() {
-            "decision" | "request ended" => self.text("request") == request_id,
+            "decision" | "request ended" | UNREAD_MESSAGE => self.text("request") == request_id,
             message => !self.subject().is_empty() || NODE_STATE_MESSAGES.contains(&message),
         }
     }
@@ -293,12 +296,30 @@
             "request ended" if entry.text("request") == request_id => {
                 hops.push(build_hop(entry, std::mem::take(&mut decisions), entries));
             }
+            // Comes after the end of the request, when its rest has been discarded.
+            UNREAD_MESSAGE => {
+                if let Some(hop) = hops.last_mut() {
+                    add_unread(hop, entry);
+                }
+            }
+
             _ => {}
         }
     }
     hops
 }
 
+/// Adds how the rest of a request ended that was answered before it was read.
+fn add_unread(hop: &mut Hop, entry: &LogEntry) {
+    let arrived = OffsetDateTime::parse(&hop.arrived, &Rfc3339).unwrap_or(entry.at);
+    hop.decisions.push(Decision {
+        at_ms: u64::try_from((entry.at - arrived).whole_milliseconds()).unwrap_or_default(),
+        kind: "answered unread".to_owned(),
+        inputs: format!("rest {}, connection {}", entry.text("rest"), entry.text("connection")),
+    });
+    hop.decision_count += 1;
+}
+
 fn build_hop(end_entry: &LogEntry, decisions: Vec<Decision>, entries: &[LogEntry]) -> Hop {
     let total_ms = end_entry.number("total_ms").unwrap_or_default();
     let arrived = end_entry.at - time::Duration::milliseconds(i64::try_from(total_ms).unwrap_or(0));
@@ -306,7 +327,9 @@
     let mut later_changes = Vec::new();
     let before =
         entries.iter().filter(|entry| entry.node == end_entry.node && entry.at <= end_entry.at);
-    for entry in before.filter(|entry| !matches!(&*entry.message, "decision" | "request ended")) {
+    for entry in before
+        .filter(|entry| !matches!(&*entry.message, "decision" | "request ended" | UNREAD_MESSAGE))
+    {
         let subject = entry.subject();
         let is_used = || decisions.iter().any(|decision| decision.inputs.contains(subject));
         if subject.is_empty() || is_used() {
--- a/crates/fescuelock-operators/tests/explain.rs
+++ b/crates/fescuelock-operators/tests/explain.rs
@@ -102,3 +102,67 @@
     assert_eq!(hop.state_changes[0].message, "prompt segment rejected");
     assert_eq!(hop.state_changes[0].fields["crashes"], 3);
 }
+
+/// Nothing told how the rest of a request ended that was refused on its head.
+#[test]
+fn refused_unread() {
+    let line = |at: &str, message: &str, fields: &str| {
+        format!(r#"{{"msg":"{message}","ts":"2026-04-27T21:10:0{at}Z","node":"edge-1",{fields}}}"#)
+    };
+    let decision = r#""inputs":"unknown key","what":"refused","at_ms":0,"request":"e1""#;
+    let ended = r#""total_ms":0,"first_ms":0,"status":401,"outcome":"refused","decisions":1"#;
+    let unread = r#""rest":"too_large","connection":"closed""#;
+    let lines = [
+        line("4.0", "decision", decision),
+        line("4.0", "request ended", &format!(r#"{ended},"request":"e1""#)),
+        line("4.8", "request answered unread", &format!(r#"{unread},"request":"e1""#)),
+        line("4.9", "request answered unread", &format!(r#"{unread},"request":"e2""#)),
+    ];
+    let explanation = explain("e1", lines).unwrap();
+    let hop = &explanation.hops[0];
+    assert_eq!(hop.cause, "refused after 0 ms: unknown key");
+    let text = explanation.text();
+    assert!(
+        text.contains("   800 ms  answered unread: rest too_large, connection closed"),
+        "{text}"
+    );
+    assert!((hop.decisions.len(), hop.decision_count) == (2, 2), "{hop:?}");
+    assert!(hop.state_changes.is_empty(), "{hop:?}");
+}
+
+/// The leaving, the pause and the silence of the request's upstreams were missing, or those of
+/// others were shown.
+#[test]
+fn upstream_states() {
+    let line = |at: &str, message: &str, fields: &str| {
+        format!(r#"{{"msg":"{message}","ts":"2026-04-27T21:10:0{at}Z","node":"edge-1",{fields}}}"#)
+    };
+    let decision = |inputs: &str, what: &str| {
+        format!(r#""inputs":"{inputs}","what":"{what}","at_ms":0,"request":"f1""#)
+    };
+    let ended = r#""total_ms":0,"first_ms":0,"status":503,"outcome":"refused","request":"f1""#;
+    let mut lines = Vec::new();
+    for upstream in ["i-1", "i-9"] {
+        lines.push(line("1.0", "upstream leaving", &format!(r#""upstream":"{upstream}""#)));
+    }
+    for upstream in ["i-2", "i-8"] {
+        let fields = format!(r#""left_ms":900,"upstream":"{upstream}""#);
+        lines.push(line("1.5", "upstream pause begun", &fields));
+    }
+    lines.extend([
+        line("2.0", "upstream silent", r#""silent_ms":400,"upstream":"i-3""#),
+        line("4.0", "decision", &decision("to i-1", "not sent")),
+        line("4.0", "decision", &decision("by i-2 with 503", "turned away")),
+        line("4.0", "decision", &decision("i-3: UpstreamSilent", "silent")),
+        line("4.0", "request ended", ended),
+    ]);
+    let explanation = explain("f1", lines).unwrap();
+    let shown: Vec<(&str, &str)> = explanation.hops[0]
+        .state_changes
+        .iter()
+        .map(|change| (change.message.as_str(), change.fields["upstream"].as_str().unwrap()))
+        .collect();
+    let expected =
+        [("upstream leaving", "i-1"), ("upstream pause begun", "i-2"), ("upstream silent", "i-3")];
+    assert_eq!(shown, expected);
+}
