--- a/crates/fescuelock-http/src/server.rs
+++ b/crates/fescuelock-http/src/server.rs
@@ -3,8 +3,8 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, read_all};
-use crate::discard::{self, DiscardEnd, DiscardOptions, may_keep_alive};
+use crate::discard::{self, Discard, DiscardEnd, DiscardOptions, may_keep_alive};
 use crate::header_timer::HeaderTimer;
 use crate::net::{BoxFuture, BoxIo, Listener};
 use crate::panics;
@@ -41,8 +41,17 @@
     /// Returns the response to one request.
     fn handle(self: Arc<Self>, request: Request<RequestBody>)
     -> BoxFuture<'static, Response<Body>>;
+
+    /// Records how the rest of a request was discarded that was answered before it was read. `label`
+    /// is that of its response; a request whose head could not be read has none.
+    fn record_discard(&self, _label: Option<&RequestLabel>, _discard: Discard) {}
 }
 
+/// `RequestLabel` names a request in the record of what happens after its response. Handlers may add
+/// it to the extensions of the response.
+#[derive(Debug, Clone)]
+pub struct RequestLabel(pub String);
+
 /// `ServerOptions` configures the connections of a server.
 #[derive(Debug, Clone)]
 pub struct ServerOptions {
@@ -182,6 +191,7 @@
         let has_unread_data = Arc::new(AtomicBool::new(false));
         let pending_discards = Arc::new(AtomicU64::new(0));
         let has_discard_timed_out = Arc::new(AtomicBool::new(false));
+        let last_label = Arc::new(Mutex::new(None));
         let mut builder = http1::Builder::new();
         builder
             .timer(HeaderTimer { options: Arc::clone(&self.options) })
@@ -189,13 +199,14 @@
             .max_headers(options.headers_max)
             .max_buf_size(options.head_max_bytes.max(BUFFER_MIN_BYTES));
         let exchange = Exchange {
-            handler,
+            handler: Arc::clone(&handler),
             tasks: self.tasks.clone(),
             options: Arc::clone(&self.options),
             stop: self.stop.clone(),
             has_unread_data: Arc::clone(&has_unread_data),
             pending_discards: Arc::clone(&pending_discards),
             has_discard_timed_out: Arc::clone(&has_discard_timed_out),
+            last_label: Arc::clone(&last_label),
             busy_guard: Arc::clone(&busy_guard),
         };
         let service = service_fn(move |request| Box::pin(exchange.clone().respond(request)));
@@ -213,22 +224,25 @@
             Pin::new(&mut connection).poll(context)
         })
         .await;
-        let is_sending = match &ended {
-            // A request head that could not be parsed has been answered, but not read to its end.
-            Err(error) => error.is_parse(),
-            // A stop also ends connections whose request is still being read.
-            Ok(()) => {
-                pending_discards.load(Ordering::Relaxed) > 0
-                    || has_unread_data.load(Ordering::Relaxed)
-            }
-        };
+        // A request head that could not be parsed has been answered, but not read to its end.
+        let has_rejected_head = ended.as_ref().is_err_and(|error| error.is_parse());
+        // A stop also ends connections whose request is still being read.
+        let is_discarding = ended.is_ok() && pending_discards.load(Ordering::Relaxed) > 0;
+        let has_unread_data = ended.is_ok() && has_unread_data.load(Ordering::Relaxed);
+        let is_sending = has_rejected_head || is_discarding || has_unread_data;
         // The caller may be sending its next request. A stop does not wait for that one.
         let may_send = ended.is_ok() && !has_discard_timed_out.load(Ordering::Relaxed);
         let _busy_guard = is_sending.then_some(busy_guard);
         let mut io = connection.into_parts().io.into_inner();
         if is_sending || may_send {
             let options = self.options.load_full();
-            discard::close_in_order(io, &options.discard, &self.stop).await;
+            let end = discard::close_in_order(io, &options.discard, &self.stop).await;
+            let label = last_label.lock().unwrap_or_else(PoisonError::into_inner).take();
+            // A body that was already being discarded has its own record.
+            if has_rejected_head || has_unread_data {
+                let discard = Discard { end, keeps_connection: false };
+                handler.record_discard(label.as_ref(), discard);
+            }
         } else {
             // The peer is gone if this fails.
             let _ = io.shutdown().await;
@@ -306,6 +320,8 @@
     pending_discards: Arc<AtomicU64>,
     /// Set when a request body was not read to its end in time.
     has_discard_timed_out: Arc<AtomicBool>,
+    /// Label of the response that closes the connection before its request has been read.
+    last_label: Arc<Mutex<Option<RequestLabel>>>,
     busy_guard: Arc<BusyGuard>,
 }
 
@@ -319,6 +335,7 @@
             has_unread_data: Arc::clone(&self.has_unread_data),
             pending_discards: Arc::clone(&self.pending_discards),
             has_discard_timed_out: Arc::clone(&self.has_discard_timed_out),
+            last_label: Arc::clone(&self.last_label),
             busy_guard: Arc::clone(&self.busy_guard),
         }
     }
@@ -340,6 +357,7 @@
             }
             false => handle(Arc::clone(&self.handler), request).await,
         };
+        let label = response.extensions_mut().remove::<RequestLabel>();
         if version == Version::HTTP_10 {
             response = buffer_body(response).await;
         }
@@ -348,20 +366,23 @@
 
             Some(body) if may_keep_alive(&body, expects_continue, &options.discard) => {
                 let stop = self.stop;
-                let discards = self.pending_discards;
+                let (discards, handler) = (self.pending_discards, self.handler);
                 let has_timed_out = self.has_discard_timed_out;
                 discards.fetch_add(1, Ordering::Relaxed);
                 self.tasks.spawn(async move {
-                    let discarding = discard::discard_body(body.incoming, &options.discard, &stop);
-                    if discarding.await == DiscardEnd::TimedOut {
+                    let end = discard::discard_body(body.incoming, &options.discard, &stop).await;
+                    if end == DiscardEnd::TimedOut {
                         has_timed_out.store(true, Ordering::Relaxed);
                     }
                     discards.fetch_sub(1, Ordering::Relaxed);
+                    let keeps_connection = end == DiscardEnd::Drained;
+                    handler.record_discard(label.as_ref(), Discard { end, keeps_connection });
                 });
             }
 
             Some(_) => {
                 self.has_unread_data.store(true, Ordering::Relaxed);
+                *self.last_label.lock().unwrap_or_else(PoisonError::into_inner) = label;
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
