--- a/crates/fescuelock-router/tests/soak.rs
+++ b/crates/fescuelock-router/tests/soak.rs
@@ -28,7 +28,9 @@
 async fn short_soak() {
     let size = DeploymentSize { nodes: 2, upstreams: 3 };
     let daemon = PathBuf::from(DAEMON);
-    soak(SoakOptions { daemon, seed: 100, size, maintenance_ms: 5_000, faults_ms: 6_000 }).await;
+    let (maintenance_ms, faults_ms) = (5_000, 6_000);
+    let options = SoakOptions::default();
+    soak(SoakOptions { daemon, seed: 100, size, maintenance_ms, faults_ms, ..options }).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
