gateway: Read the answer of an attempt that another one has overtaken

Soak seed 423: after a silence of a whole service, an upstream that had answered a node 503 with a Retry-After of 2.3 s got 84 requests from it within that time. 'explain' shows the request (r869) at the silent upstream, its second send beside it, and 'second send cancelled: the first upstream went on' at the moment at which the silence ended for both. The second one's rejection was on its way; the node closed that connection unread, so it did not learn of the pause. The same holds for a statement that the upstream leaves or has a limit, and for the first attempt when the second one answers first.

Before an attempt is cancelled because another one has answered, it is now read on for 5 ms, at heads and within streams. Upstreams that fall silent with a common cause go on at the same time, so this is where answers cross; engines work on for 5 ms at most. A request waits for this only if it has a second send.

--- a/crates/fescuelock-gateway/src/hedge.rs
+++ b/crates/fescuelock-gateway/src/hedge.rs
@@ -16,7 +16,7 @@
 use fescuelock_policy::retry_budget::RetryPurpose;
 use fescuelock_policy::silence::{HedgeCause, HedgeCheck, HedgeTimeouts};
 use slog::info;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::dispatch::{self, AttemptOptions, SendResult, UpstreamResponse};
@@ -30,6 +30,11 @@
 use crate::trace::Trace;
 use crate::upstream::UpstreamKey;
 
+/// Time for which an attempt that is no longer needed is still read, in milliseconds. Upstreams whose
+/// silence has a common cause go on together, and what an answer says of its upstream, such as that it
+/// wants no further requests, counts even if the answer is not used.
+const CROSSING_MS: u64 = 5;
+
 /// Interval at which a second send is tried again, in milliseconds.
 const RETRY_INTERVAL_MS: u64 = 100;
 
@@ -143,10 +148,20 @@
                 if waits {
                     hedge_progress.end_first();
                 }
-                let hedged = if waits { second.await } else { None };
+                let hedged = match waits {
+                    true => second.await,
+                    false => {
+                        read_crossing_answer(&hedge_progress, second).await;
+                        None
+                    }
+                };
                 (Some(result), hedged)
             }
-            hedged = &mut second => (None, hedged),
+            hedged = &mut second => {
+                // The response itself is not used: the second upstream answered before.
+                let _ = timeout(Duration::from_millis(CROSSING_MS), sending).await;
+                (None, hedged)
+            }
         }
     };
     if hedge_progress.is_in_flight() {
@@ -172,6 +187,17 @@
     }
 }
 
+/// Reads on for a moment at a second send that is about to be cancelled.
+pub async fn read_crossing_answer(
+    progress: &HedgeProgress,
+    second: impl Future<Output = Option<Hedged>>,
+) {
+    if progress.is_in_flight() {
+        // The response itself is not used: the first upstream went on before.
+        let _ = timeout(Duration::from_millis(CROSSING_MS), second).await;
+    }
+}
+
 /// Returns whether a result is a response that ends the wait for other attempts.
 fn is_usable(result: &SendResult) -> bool {
     match result {
--- a/crates/fescuelock-gateway/src/relay.rs
+++ b/crates/fescuelock-gateway/src/relay.rs
@@ -234,6 +234,7 @@
                     () = sender.closed() => break Step::End(ForwardEnd::CallerDisconnected),
                     received = body.frame(), if frame.is_none() => {
                         if !progress.is_in_flight() || !is_cut(&received, reader) {
+                            hedge::read_crossing_answer(&progress, second).await;
                             break Step::Frame(received);
                         }
                         // The second send that is under way is all that is left of the stream.
--- a/crates/fescuelock-router/tests/soak.rs
+++ b/crates/fescuelock-router/tests/soak.rs
@@ -12,10 +12,11 @@
 const DAEMON: &str = env!("CARGO_BIN_EXE_fescuelockd");
 
 /// Seeds whose runs found a fault, with its cause. They run as regression tests.
-const REGRESSION_SEEDS: [(u64, &str); 3] = [
+const REGRESSION_SEEDS: [(u64, &str); 4] = [
     (1, "a signal arrived before the process had installed its handlers: planned signals now wait"),
     (30, "a request whose caller disconnected before the response began ended without a log line"),
     (52, "an HTTP head in transit was cut off when a stopping node closed its connections"),
+    (423, "a second send was cancelled before its rejection with Retry-After was read"),
 ];
 
 async fn soak(options: SoakOptions) {
