gateway: Go on logging after an output that failed for a while

The log of a node stopped for good at the first write that failed, while the node ran on.

output_full_for_while failed before (request 1 is missing) and passes now.

--- a/crates/fescuelock-gateway/src/log.rs
+++ b/crates/fescuelock-gateway/src/log.rs
@@ -217,8 +217,12 @@
         false
     }
 
-    /// Writes buffered lines to the output until the task is dropped or the output is closed.
+    /// Writes buffered lines to the output until the task is dropped.
+    ///
+    /// Lines that could not be written are written again, since an output may fail for a while, as
+    /// when its disk is full. A part of them may then stand there twice.
     pub async fn write_out(self, mut output: impl AsyncWrite + Unpin, logger: Logger) {
+        let mut is_failing = false;
         loop {
             sleep(Duration::from_millis(WRITE_INTERVAL_MS)).await;
             let (lines, dropped) = self.drain_lines();
@@ -230,11 +234,38 @@
             if lines.is_empty() {
                 continue;
             }
-            let written = output.write_all(&lines).await;
-            if written.is_err() || output.flush().await.is_err() {
-                // The output is closed, so the error cannot be logged either.
-                return;
+            match write_lines(&mut output, &lines, is_failing).await {
+                Ok(()) => is_failing = false,
+
+                Err(error) => {
+                    self.restore_lines(lines);
+                    if !std::mem::replace(&mut is_failing, true) {
+                        warn!(logger, #TAG_LIFECYCLE, "log output failed, writing again";
+                            "error" => %error);
+                    }
+                }
             }
         }
     }
+
+    /// Puts lines that could not be written before those that were logged meanwhile.
+    fn restore_lines(&self, mut lines: Vec<u8>) {
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.append(&mut buffer.pending);
+        buffer.pending = lines;
+    }
+}
+
+/// Writes lines to the output. After a failure, the output may end within a line, which is ended
+/// first.
+async fn write_lines(
+    output: &mut (impl AsyncWrite + Unpin),
+    lines: &[u8],
+    is_after_failure: bool,
+) -> io::Result<()> {
+    if is_after_failure {
+        output.write_all(b"\n").await?;
+    }
+    output.write_all(lines).await?;
+    output.flush().await
 }
--- a/crates/fescuelock-gateway/tests/logs.rs
+++ b/crates/fescuelock-gateway/tests/logs.rs
@@ -1,6 +1,8 @@
 //! Log lines are rate-limited, dropped lines are counted, and a stalled reader can't block a node.
 
+use std::io::Error;
 use std::pin::Pin;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -35,6 +37,36 @@
     }
 }
 
+/// `FullOutput` is an output on a disk that is full for the first few writes. It takes half of each of
+/// them.
+#[derive(Clone, Default)]
+struct FullOutput {
+    written: Arc<Mutex<Vec<u8>>>,
+    failures: usize,
+}
+
+impl AsyncWrite for FullOutput {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let is_full = self.failures > 0;
+        self.failures = self.failures.saturating_sub(1);
+        let taken = if is_full { bytes.len() / 2 } else { bytes.len() };
+        self.written.lock().expect("no test panics here").extend_from_slice(&bytes[..taken]);
+        Poll::Ready(if is_full { Err(Error::other("disk full")) } else { Ok(taken) })
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
 /// Logs a refused request with one decision.
 fn log_refusal(logger: &slog::Logger, id: u64) {
     let mut trace = Trace::new(logger, &format!("{id:016x}"), Instant::now());
@@ -90,3 +122,28 @@
     assert!(dropped.buffer_full > 0);
     writer.abort();
 }
+
+/// A disk that was full for a moment ended the log of a node that ran on.
+#[tokio::test(start_paused = true)]
+async fn output_full_for_while() {
+    let log_buffer = LogBuffer::default();
+    let logger = log_buffer.logger("edge-1");
+    let output = FullOutput { failures: 3, ..FullOutput::default() };
+    let writer = tokio::spawn(log_buffer.clone().write_out(output.clone(), logger.clone()));
+    for id in 0..20 {
+        log_refusal(&logger, id);
+        sleep(Duration::from_millis(100)).await;
+    }
+    sleep(Duration::from_secs(1)).await;
+    writer.abort();
+    let written = output.written.lock().expect("the writer does not panic").clone();
+    let text = String::from_utf8(written).expect("the log is text");
+    let is_whole = |line: &&str| line.starts_with('{') && line.ends_with('}');
+    let whole: Vec<&str> = text.lines().filter(is_whole).collect();
+    for id in 0..20 {
+        let id = format!("{id:016x}");
+        let ends = whole.iter().filter(|line| line.contains("request ended") && line.contains(&id));
+        assert!(ends.count() > 0, "request {id} is missing: {text}");
+    }
+    assert_eq!(whole.iter().filter(|line| line.contains("log output failed")).count(), 1, "{text}");
+}
