gateway: Notice soon that a watch after a burst of changes is not answered

The first watch after such a delay now waits no longer than changes may take to be in force (policy::watch_batching), which costs one call more after each burst; further ones wait as long as before. A watch that follows another one without delay is not sent into an outage but for its transit.

--- a/crates/fescuelock-gateway/src/watcher.rs
+++ b/crates/fescuelock-gateway/src/watcher.rs
@@ -135,10 +135,13 @@
         watch_batching: &mut WatchBatching,
     ) -> Result<u64, StoreError> {
         // After a failure, a watch that returns at once detects a recovery of the store soon.
-        let history_ms = self.node_state.bounds().history_ms as f64 * WATCH_HISTORY_SHARE;
+        let bounds = self.node_state.bounds();
+        let propagation_max_ms = bounds.propagation_max_ms();
+        let history_ms = (bounds.history_ms as f64 * WATCH_HISTORY_SHARE) as u64;
+        let wait_max_ms = WATCH_WAIT_MAX_MS.min(history_ms);
         let wait_ms = match outage.since {
             Some(_) => 0,
-            None => WATCH_WAIT_MAX_MS.min(history_ms as u64),
+            None => watch_batching.next_wait_ms(propagation_max_ms, wait_max_ms),
         };
         let mut outages = self.node_state.store_outages.subscribe();
         let changes = tokio::select! {
@@ -156,7 +159,6 @@
             }
         }
         if has_changed {
-            let propagation_max_ms = self.node_state.bounds().propagation_max_ms();
             let pause_ms =
                 watch_batching.next_delay_ms(propagation_max_ms, self.node_state.now_ms());
             sleep(Duration::from_millis(pause_ms)).await;
--- a/crates/fescuelock-policy/src/watch_batching.rs
+++ b/crates/fescuelock-policy/src/watch_batching.rs
@@ -4,6 +4,10 @@
 //! the return of an availability zone, when each response of the store with changes would lead to
 //! another call by every node. A change after a quiet period is read at once. While changes
 //! continue, the delay grows exponentially, so that a burst of any length costs a node a few calls.
+//!
+//! Handles also a store that falls silent within such a delay: it may never answer the watch that is
+//! sent next, nor close its connection. The first watch after a delay waits for a short time only, so
+//! that an answer that does not come is noticed soon.
 
 /// Delay after a first change, in milliseconds. Changes that are made together arrive within it.
 const DELAY_MIN_MS: u64 = 150;
@@ -24,6 +28,7 @@
 pub struct WatchBatching {
     delay_ms: u64,
     delayed_until_ms: u64,
+    is_after_delay: bool,
 }
 
 impl WatchBatching {
@@ -40,6 +45,16 @@
             delay_ms => (DELAY_GROWTH_FACTOR * delay_ms).min(delay_max_ms),
         };
         self.delayed_until_ms = now_ms + self.delay_ms;
+        self.is_after_delay = true;
         self.delay_ms
     }
+
+    /// Returns for how long the next watch waits for changes, in milliseconds, and records that it
+    /// is sent. `wait_max_ms` is the wait of a watch that follows another one without delay.
+    pub fn next_wait_ms(&mut self, propagation_max_ms: u64, wait_max_ms: u64) -> u64 {
+        match std::mem::take(&mut self.is_after_delay) {
+            true => propagation_max_ms.min(wait_max_ms),
+            false => wait_max_ms,
+        }
+    }
 }
--- a/crates/fescuelock-policy/tests/gathering.rs
+++ b/crates/fescuelock-policy/tests/gathering.rs
@@ -46,3 +46,15 @@
         assert!(waited_ms <= PROPAGATION_MAX_MS / 4, "{waited_ms}");
     }
 }
+
+/// The store fell silent within the delay after a change, and the next watch waited for its answer for
+/// as long as one that follows another without delay.
+#[test]
+fn silent_after_delay() {
+    const WAIT_MAX_MS: u64 = 16_000;
+    let mut watch_batching = WatchBatching::default();
+    assert_eq!(watch_batching.next_wait_ms(PROPAGATION_MAX_MS, WAIT_MAX_MS), WAIT_MAX_MS);
+    watch_batching.next_delay_ms(PROPAGATION_MAX_MS, 1_000);
+    assert_eq!(watch_batching.next_wait_ms(PROPAGATION_MAX_MS, WAIT_MAX_MS), PROPAGATION_MAX_MS);
+    assert_eq!(watch_batching.next_wait_ms(PROPAGATION_MAX_MS, WAIT_MAX_MS), WAIT_MAX_MS);
+}
