store: Take no late answer of the object API for that of another call

In the product's own mode, reads and writes of the object API shared connections, and its answers do not tell which call they belong to. One that came late or once more was taken for that of the next call: a claim that had been refused counted as granted, so that a request that may run only once could run twice, and a duplicate could get the result of another request.

Each read and write has a connection of its own now, as with the users' platform. Watches have one for each object, and drop an object that is no newer than the one that they know.

stray_objects.rs, failed before: stray_claim ("Ok(ObjectVersion(5))"), stray_object (left: "first", right: "second") and stray_watch. All pass now. No such answer has been seen outside the tests.

--- a/crates/fescuelock-store/src/http_store.rs
+++ b/crates/fescuelock-store/src/http_store.rs
@@ -1,5 +1,8 @@
 //! HTTP client of the platform's object API, in which entity tags carry the object versions.
 
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
 use bytes::Bytes;
 use fescuelock_core::counters::{Counter, Counters};
 use fescuelock_http::client::{Client, ClientRequest, ClientResponse};
@@ -37,7 +40,8 @@
 /// `HttpStore` is the [`ObjectStore`] that calls the platform over HTTP.
 pub struct HttpStore {
     client: Client,
-    watch_client: Client,
+    watch_clients: Mutex<HashMap<String, Arc<Client>>>,
+    network: SharedNetwork,
     options: HttpStoreOptions,
     counters: Counters,
     availability: Availability,
@@ -46,9 +50,21 @@
 impl HttpStore {
     /// Creates a store. No connection is opened before the first call.
     pub fn new(network: SharedNetwork, options: HttpStoreOptions, counters: Counters) -> Self {
-        let client = Client::new(network.clone(), options.address.clone());
-        let watch_client = Client::new(network, options.address.clone());
-        HttpStore { client, watch_client, options, counters, availability: Availability::default() }
+        HttpStore {
+            client: Client::new(network.clone(), options.address.clone()),
+            watch_clients: Mutex::default(),
+            network,
+            options,
+            counters,
+            availability: Availability::default(),
+        }
+    }
+
+    /// Returns the client for watching an object. Watches of different objects share no connection.
+    fn watch_client(&self, key: &str) -> Arc<Client> {
+        let mut watch_clients = self.watch_clients.lock().unwrap_or_else(PoisonError::into_inner);
+        let new_client = || Client::new(self.network.clone(), self.options.address.clone());
+        Arc::clone(watch_clients.entry(key.to_owned()).or_insert_with(|| Arc::new(new_client())))
     }
 
     /// Returns the platform's availability, on which other tasks can wait.
@@ -81,9 +97,7 @@
         etag: Option<&str>,
     ) -> Result<Option<TaggedBody>> {
         let headers = etag.iter().map(|etag| (header::IF_NONE_MATCH, (*etag).to_owned())).collect();
-        let answer = self
-            .call(&self.client, ClientRequest { path, headers, ..ClientRequest::default() })
-            .await?;
+        let answer = self.send(ClientRequest { path, headers, ..ClientRequest::default() }).await?;
         match answer.status {
             StatusCode::NOT_MODIFIED => Ok(None),
 
@@ -97,10 +111,25 @@
         }
     }
 
-    async fn call(&self, client: &Client, call: ClientRequest) -> Result<ClientResponse> {
+    /// Sends a request other than a watch. Responses do not tell which request they belong to, so
+    /// that each of these calls has a connection of its own.
+    async fn send(&self, request: ClientRequest) -> Result<ClientResponse> {
+        let request = self.with_limit(request);
+        self.count(self.client.call_once(request)).await
+    }
+
+    fn with_limit(&self, request: ClientRequest) -> ClientRequest {
+        let limit_ms = request.limit_ms.max(self.options.call_timeout_ms);
+        ClientRequest { limit_ms, ..request }
+    }
+
+    /// Counts a call, and records whether the platform is available.
+    async fn count(
+        &self,
+        calling: impl Future<Output = fescuelock_http::Result<ClientResponse>>,
+    ) -> Result<ClientResponse> {
         self.counters.count(Counter::PlatformCalls);
-        let limit_ms = call.limit_ms.max(self.options.call_timeout_ms);
-        let answered = client.call(ClientRequest { limit_ms, ..call }).await;
+        let answered = calling.await;
         let failed = answered.as_ref().map_or(true, |answer| answer.status.is_server_error());
         if failed {
             self.counters.count(Counter::PlatformFailures);
@@ -108,29 +137,13 @@
         self.availability.record_call(!failed);
         Ok(answered?)
     }
-
-    async fn read(&self, client: &Client, call: ClientRequest) -> Result<Option<Object>> {
-        let answer = self.call(client, call).await?;
-        match answer.status {
-            StatusCode::OK => {
-                let version = version_of(&answer)?;
-                Ok(Some(Object { body: answer.body, version }))
-            }
-
-            StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(None),
-
-            _ => Err(rejection(&answer)),
-        }
-    }
 }
 
 impl ObjectStore for HttpStore {
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Object>>> {
         Box::pin(async move {
-            let limit_ms = self.options.call_timeout_ms;
-            let call =
-                ClientRequest { path: object_path(key), limit_ms, ..ClientRequest::default() };
-            self.read(&self.client, call).await
+            let request = ClientRequest { path: object_path(key), ..ClientRequest::default() };
+            object_of(self.send(request).await?)
         })
     }
 
@@ -144,11 +157,11 @@
             let after = after.map_or(0, |version| version.0);
             let path = format!("{}?watch_after={after}&wait_ms={wait_ms}", object_path(key));
             let limit_ms = wait_ms + self.options.call_timeout_ms;
-            self.read(
-                &self.watch_client,
-                ClientRequest { path, limit_ms, ..ClientRequest::default() },
-            )
-            .await
+            let request = ClientRequest { path, limit_ms, ..ClientRequest::default() };
+            let answer = self.count(self.watch_client(key).call(request)).await?;
+            // The response to an earlier watch, late or once more on the connection, holds nothing
+            // that came after.
+            Ok(object_of(answer)?.filter(|object| object.version.0 > after))
         })
     }
 
@@ -170,7 +183,7 @@
                 body,
                 limit_ms: self.options.call_timeout_ms,
             };
-            let answer = self.call(&self.client, call).await?;
+            let answer = self.send(call).await?;
             match answer.status {
                 StatusCode::PRECONDITION_FAILED => Err(Error::Conflict),
                 status if status.is_success() => version_of(&answer),
@@ -192,6 +205,20 @@
     format!("/v1/objects/{key}")
 }
 
+/// Returns the object in a response, or `None` if there is none or it has not changed.
+fn object_of(answer: ClientResponse) -> Result<Option<Object>> {
+    match answer.status {
+        StatusCode::OK => {
+            let version = version_of(&answer)?;
+            Ok(Some(Object { body: answer.body, version }))
+        }
+
+        StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(None),
+
+        _ => Err(rejection(&answer)),
+    }
+}
+
 /// Parses the object version from a response's entity tag.
 fn version_of(answer: &ClientResponse) -> Result<ObjectVersion> {
     let etag = answer.headers.get(header::ETAG).and_then(|value| value.to_str().ok());
