router: End answers whose body does not end in time

On the product's own front, an upstream that sent a byte of its body now and then held a request that is not streamed for as long as its caller waited: only the head of an answer had a time limit.

The body has as much time after its head as the head itself. Then the answer counts as lost: a request that may be repeated goes to another upstream, and another one ends with 504, outcome unknown.

--- a/crates/fescuelock-router/src/chat.rs
+++ b/crates/fescuelock-router/src/chat.rs
@@ -15,7 +15,7 @@
 use fescuelock_core::rules::{ConfigSnapshot, ResponseIdSource};
 use fescuelock_core::session::SessionBinding;
 use fescuelock_core::units::Usage;
-use fescuelock_http::body::{Body, read_all};
+use fescuelock_http::body::Body;
 use fescuelock_store::bills::Bill;
 use fescuelock_upstreams::chat::{EngineRequest, validate_completion};
 use fescuelock_upstreams::dispatch::{AnsweredAttempt, Assignment, ConnectionReuse};
@@ -167,7 +167,7 @@
         let status = response.status();
         let content_type = response.headers().get(header::CONTENT_TYPE).cloned();
         let identity = identify(&placed.id.to_string(), response.headers(), &connection);
-        let body = read_all(response.into_body(), handler.options.answer_max_bytes).await;
+        let body = handler.read_answer(response.into_body()).await;
         let checked = match body {
             // Engines don't put the id into the body of an error.
             Ok(_) if !status.is_success() && !identity.is_accepted() => {
@@ -182,7 +182,7 @@
                 Err(error) => Err(record_invalid_response(handler, &error)),
             },
 
-            Err(_) => Err(UnknownCause::AnswerCut),
+            Err(cause) => Err(cause),
         };
         match checked {
             Ok((body, usage)) => {
@@ -250,7 +250,7 @@
         let (head, body) = response.into_parts();
         let is_accepted =
             identify(&placed.id.to_string(), &head.headers, &connection).is_accepted();
-        let cause = match read_all(body, handler.options.answer_max_bytes).await {
+        let cause = match handler.read_answer(body).await {
             Ok(body) if is_accepted => return Ok(forward_error(handler, head.status, &body)),
 
             Ok(_) => {
@@ -258,7 +258,7 @@
                 UnknownCause::AnswerInvalid
             }
 
-            Err(_) => UnknownCause::AnswerCut,
+            Err(cause) => cause,
         };
         handler.dispatcher.record_failure(in_flight.upstream_handle());
         progress = attempt.retry(Retryable, cause);
--- a/crates/fescuelock-router/src/handler.rs
+++ b/crates/fescuelock-router/src/handler.rs
@@ -7,7 +7,9 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
+use bytes::Bytes;
 use fescuelock_callers::intake::{self, RequestLimits};
 use fescuelock_callers::{headers, responses};
 use fescuelock_core::clock::Clock;
@@ -20,7 +22,7 @@
 use fescuelock_core::rules::ConfigSnapshot;
 use fescuelock_core::session::SessionKeys;
 use fescuelock_core::tasks::TaskGroup;
-use fescuelock_http::body::Body;
+use fescuelock_http::body::{Body, read_all};
 use fescuelock_http::net::BoxFuture;
 use fescuelock_http::panics;
 use fescuelock_http::pool::Connection;
@@ -35,8 +37,10 @@
 use fescuelock_upstreams::dispatch::{AnsweredAttempt, Assignment, Dispatcher};
 use fescuelock_upstreams::registry::UpstreamHandle;
 use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
 use rand::{Rng, RngExt};
 use rand_chacha::ChaCha8Rng;
+use tokio::time::timeout;
 
 use crate::attempts::Attempts;
 use crate::{chat, service};
@@ -302,6 +306,20 @@
         true
     }
 
+    /// Reads the body of a response that is not streamed, within the limits on size and time.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the body is not whole.
+    pub async fn read_answer(&self, body: Incoming) -> Result<Bytes, UnknownCause> {
+        let limit = Duration::from_millis(self.options.answer_timeout_ms);
+        match timeout(limit, read_all(body, self.options.answer_max_bytes)).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(_)) => Err(UnknownCause::AnswerCut),
+            Err(_) => Err(UnknownCause::AnswerTimeout),
+        }
+    }
+
     /// Builds the response to a request that failed, and counts its outcome.
     pub fn fail(&self, id: RequestId, failure: Failure) -> Response<Body> {
         let counter = match *failure {
--- a/crates/fescuelock-router/src/service.rs
+++ b/crates/fescuelock-router/src/service.rs
@@ -16,7 +16,7 @@
 };
 use fescuelock_core::refusal::Refusal;
 use fescuelock_core::units::Usage;
-use fescuelock_http::body::{Body, read_all};
+use fescuelock_http::body::Body;
 use fescuelock_store::bills::Bill;
 use fescuelock_store::claim_record::StoredResult;
 use fescuelock_store::claims::{Claim, ClaimOutcome};
@@ -243,7 +243,7 @@
         let AnsweredAttempt { attempt, response, connection, in_flight } = *answered;
         let (head, body) = response.into_parts();
         let identity = identify(&call.id.to_string(), &head.headers, &connection);
-        let cause = match read_all(body, handler.options.answer_max_bytes).await {
+        let cause = match handler.read_answer(body).await {
             Ok(_) if !identity.is_accepted() => {
                 handler.counters.count(Counter::AnswersCrossed);
                 UnknownCause::AnswerInvalid
@@ -257,7 +257,7 @@
                 return Ok(ServiceResponse { status: head.status, content_type, body });
             }
 
-            Err(_) => UnknownCause::AnswerCut,
+            Err(cause) => cause,
         };
         handler.dispatcher.record_failure(in_flight.upstream_handle());
         match call.repeatable {
