router: End a finished stream without waiting for its engine

On the product's own front, the last events of a finished stream, with its usage and cost, waited until the engine closed its response, up to stream_idle_ms: 15 s if it did not. The wait decides only whether the connection is kept, and has a task of its own now.

held_at_end failed before ("the answer took us") and passes now.

--- a/crates/fescuelock-load/tests/broken_silence.rs
+++ b/crates/fescuelock-load/tests/broken_silence.rs
@@ -118,3 +118,16 @@
     assert!(reply.complete && reply.text == "a", "{reply:?}");
     assert_eq!((requests, failures), (1, 0));
 }
+
+/// The end of a finished answer waited until the engine closed its response.
+#[tokio::test(start_paused = true)]
+async fn held_at_end() {
+    let end = "e\r\ndata: [DONE]\n\n\r\n".to_owned();
+    let (reply, requests, failures) = stream(move |_, request| {
+        vec![head(), token(request, "\"stop\""), Step::Write(end.clone()), Step::Pause(LONG_MS)]
+    })
+    .await;
+    assert!(reply.complete && reply.text == "a", "{reply:?}");
+    assert_eq!((requests, failures), (1, 0));
+    assert!(reply.total_us < 1_000_000, "the answer took {} us", reply.total_us);
+}
--- a/crates/fescuelock-router/src/relay.rs
+++ b/crates/fescuelock-router/src/relay.rs
@@ -12,9 +12,11 @@
 use fescuelock_core::rules::ResponseIdSource;
 use fescuelock_core::units::Usage;
 use fescuelock_http::body::BodySender;
+use fescuelock_http::pool::Connection;
 use fescuelock_upstreams::chat::Continuation;
 use fescuelock_upstreams::dispatch::AnsweredAttempt;
 use fescuelock_upstreams::events::StreamReader;
+use fescuelock_upstreams::registry::InFlightGuard as EngineGuard;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -127,13 +129,9 @@
             // `[DONE]` without a `finish_reason` before it ends a truncated response.
             match batch.ended {
                 true if reader.has_finish_reason() => {
-                    let idle_timeout = Duration::from_millis(self.handler.options.stream_idle_ms);
                     // Without ids of requests, a stream could not be told from a stray one.
-                    let has_request_id = ids == ResponseIdSource::Echoed;
-                    if let Ok(None) = timeout(idle_timeout, body.frame()).await
-                        && has_request_id
-                    {
-                        in_flight.upstream_handle().pool.checkin(connection);
+                    if ids == ResponseIdSource::Echoed {
+                        self.keep_after_end(body, connection, in_flight);
                     }
                     return SegmentEnd::Complete(self.total_usage(&reader));
                 }
@@ -259,6 +257,17 @@
         self.sender.abort().await;
     }
 
+    /// Keeps a connection for further requests once its response has ended. The caller's answer does
+    /// not wait for that.
+    fn keep_after_end(&self, mut body: Incoming, connection: Connection, in_flight: EngineGuard) {
+        let idle_timeout = Duration::from_millis(self.handler.options.stream_idle_ms);
+        self.handler.tasks.spawn(async move {
+            if let Ok(None) = timeout(idle_timeout, body.frame()).await {
+                in_flight.upstream_handle().pool.checkin(connection);
+            }
+        });
+    }
+
     /// Returns the usage of the response, over all its segments.
     fn total_usage(&self, reader: &StreamReader) -> Usage {
         let segment_usage = reader.usage();
